--- a/citronjunction/attempts/claims.py
+++ b/citronjunction/attempts/claims.py
@@ -13,7 +13,7 @@
 from typing import Union
 
 from citronjunction.documents import codec
-from citronjunction.platform import models as platform
+from citronjunction.store import models as platform
 from citronjunction.verdicts import models as verdicts
 
 KIND = 'claims'
--- a/citronjunction/attempts/suspects.py
+++ b/citronjunction/attempts/suspects.py
@@ -89,6 +89,10 @@
         """Tell whether a worker has crashed under the request."""
         return self._get(fingerprint, now) is not None
 
+    def clear(self, fingerprint: int) -> None:
+        """Forget a request that a worker has answered."""
+        self.held.pop(fingerprint, None)
+
     def claim_worker(self, worker: str, fingerprint: int) -> None:
         """Keep other suspects away from a worker."""
         self.alone[worker] = fingerprint
--- a/citronjunction/bench/controlling.py
+++ b/citronjunction/bench/controlling.py
@@ -9,7 +9,7 @@
 from citronjunction.bench import processes
 from citronjunction.configuration import models as configuration
 from citronjunction.launch import cluster
-from citronjunction.platform import object_api
+from citronjunction.store import object_api
 
 ZONES = 5
 IDLE_S = 4.0
--- a/citronjunction/bench/relay.py
+++ b/citronjunction/bench/relay.py
@@ -46,9 +46,9 @@
     events: int = 0
     is_failed: bool = False
 
-    def on_head(self, status: int, headers: dict[str, str]) -> None:
+    def on_head(self, head: http_client.Head) -> None:
         """Take the status."""
-        self.is_failed = status != 200
+        self.is_failed = head.status != 200
 
     def on_data(self, chunk: bytes) -> None:
         """Count events."""
--- a/citronjunction/commands/common.py
+++ b/citronjunction/commands/common.py
@@ -69,7 +69,6 @@
 ) -> None:
     """Run a node of a process until it is stopped."""
     settings = load_settings(config, only_check=only_check)
-    start_logging()
     loop = runtime.Runtime()
     build(loop, settings).start()
     loop.run()
--- a/citronjunction/commands/console.py
+++ b/citronjunction/commands/console.py
@@ -4,8 +4,8 @@
 from typing import Generic, TypeVar
 
 from citronjunction.conf import models as conf
-from citronjunction.platform import models as platform
-from citronjunction.platform import object_api
+from citronjunction.store import models as platform
+from citronjunction.store import object_api
 from citronjunction.transport import http_client, runtime
 from citronjunction.verdicts import models as verdicts
 
--- a/citronjunction/commands/control.py
+++ b/citronjunction/commands/control.py
@@ -15,6 +15,7 @@
     version: common.VersionOption = False,
 ) -> None:
     """Carry out moves beside the entry of the same settings."""
+    common.start_logging()
     common.run_node(config, node.ControlNode, only_check=check)
 
 
--- a/citronjunction/commands/entry.py
+++ b/citronjunction/commands/entry.py
@@ -15,6 +15,7 @@
     version: common.VersionOption = False,
 ) -> None:
     """Serve callers until stopped; SIGTERM stops gracefully."""
+    common.start_logging()
     common.run_node(config, node.EntryNode, only_check=check)
 
 
--- /dev/null
+++ b/citronjunction/commands/gateway.py
@@ -0,0 +1,99 @@
+"""citron-gateway: serves callers on the users' platform."""
+
+from typing import Annotated
+
+import expression
+import typer
+
+from citronjunction.commands import common
+from citronjunction.conf import loader
+from citronjunction.conf import models as conf
+from citronjunction.gateway import node
+from citronjunction.observability import output
+from citronjunction.platform import cloud, codec, decoder, directory
+from citronjunction.platform import object_store
+from citronjunction.transport import front, runtime
+
+app = typer.Typer(add_completion=False)
+SETTINGS_VARIABLE = 'CITRONJUNCTION_NODE_FILE'
+
+
+def build_node(
+    loop: runtime.Runtime,
+    settings: conf.Settings,
+    config: str,
+) -> node.GatewayNode:
+    """Join a gateway to the platform's adapter."""
+    adapter = node.Adapter(
+        codec.PlatformCodec(),
+        decoder.PlatformDecoder(),
+        object_store.ObjectStore(loop.client, settings.platform.object_api),
+        cloud.Cloud(loop.client, settings.platform.cloud_api),
+    )
+    built = node.GatewayNode(loop, settings, adapter)
+    listeners = settings.listeners
+    for address, application in (
+        (
+            listeners.directory,
+            directory.Directory(
+                built.list_addresses,
+                settings.gateway.keep_addresses_s,
+            ),
+        ),
+        (listeners.readiness, directory.Readiness(built.is_ready)),
+    ):
+        served = front.Front(
+            loop.sockets,
+            loop.timers,
+            settings.http,
+            application,
+        )
+        served.listen(*node.split_address(address))
+    loop.watch_reload(lambda: reload_settings(built, config))
+    return built
+
+
+def reload_settings(built: node.GatewayNode, config: str) -> None:
+    """Take what may change in a running process: the seeds."""
+    match loader.load_file(config):
+        case expression.Result(tag='ok', ok=settings):
+            built.settings.membership.seeds = settings.membership.seeds
+            built.log.write('reload', config, seeds=settings.membership.seeds)
+        case expression.Result(error=problems):
+            built.log.write(
+                'reload failed',
+                config,
+                problems=[str(problem) for problem in problems],
+            )
+
+
+@app.command()
+def run(
+    config: Annotated[
+        str,
+        typer.Option(
+            '--config',
+            help='settings file in INI',
+            metavar='FILE.ini',
+            envvar=SETTINGS_VARIABLE,
+        ),
+    ],
+    check: common.CheckOption = False,
+    version: common.VersionOption = False,
+) -> None:
+    """Serve callers until stopped; SIGTERM stops gracefully."""
+    output.start_logging()
+    common.run_node(
+        config,
+        lambda loop, settings: build_node(loop, settings, config),
+        only_check=check,
+    )
+
+
+def main() -> None:
+    """Run the command."""
+    app()
+
+
+if __name__ == '__main__':
+    main()
--- a/citronjunction/conf/models.py
+++ b/citronjunction/conf/models.py
@@ -9,6 +9,7 @@
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 Count = Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
 Bytes = Annotated[int, pydantic.Field(ge=1, le=1 << 30)]
+Address = Annotated[str, pydantic.Field(pattern=r'^[\d.]+:\d+$')]
 Share = Annotated[float, pydantic.Field(gt=0, le=1)]
 
 
@@ -132,6 +133,62 @@
     significance: Share = describe('false alarm rate of a move', 0.01)
 
 
+@dataclasses.dataclass(slots=True)
+class Listeners:
+    """Addresses of a gateway."""
+
+    front: Address = describe('IP:PORT for callers', '127.0.0.1:8080')
+    readiness: Address = describe('IP:PORT for probes', '127.0.0.1:8082')
+    directory: Address = describe(
+        'IP:PORT that lists entries', '127.0.0.1:8083'
+    )
+    control: Address = describe('IP:PORT for peers', '127.0.0.1:8081')
+    metrics: Address = describe('IP:PORT of the metrics', '127.0.0.1:8084')
+
+
+@dataclasses.dataclass(slots=True)
+class Gateway:
+    """Pace of a gateway."""
+
+    keep_addresses_s: Seconds = describe(
+        'time that callers keep a list of entries',
+        2.0,
+        's',
+    )
+    grace_s: Seconds = describe('time from a stop signal to a kill', 8.0, 's')
+    watch_s: Seconds = describe('longest wait of a store watch', 5.0, 's')
+    seed_s: Seconds = describe(
+        'wait for the store at start until peers are asked',
+        0.5,
+        's',
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Retries:
+    """Retries that all entries together may send to an upstream."""
+
+    ratio: Share = describe('retries per request of the window', 0.2)
+    window_s: Seconds = describe('length of the window', 10.0, 's')
+    slack: Count = describe('retries of a window besides', 50)
+
+
+@dataclasses.dataclass(slots=True)
+class Duties:
+    """Work of one entry at a time."""
+
+    usage_window_s: Seconds = describe('length of a usage window', 5.0, 's')
+    usage_settle_s: Seconds = describe(
+        'time after a window until its counts have spread',
+        2.0,
+        's',
+    )
+    usage_late_s: Seconds = describe('time until a report is due', 10.0, 's')
+    lease_s: Seconds = describe('duration of the lease', 4.0, 's')
+    margin_s: Seconds = describe('time before expiry to stop acting', 1.2, 's')
+    tick_s: Seconds = describe('interval of steps', 0.25, 's')
+
+
 @dataclasses.dataclass(slots=True)
 class Settings:
     """All settings of a process."""
@@ -144,6 +201,10 @@
     attempts: Attempts = dataclasses.field(default_factory=Attempts)
     membership: Membership = dataclasses.field(default_factory=Membership)
     control: Control = dataclasses.field(default_factory=Control)
+    listeners: Listeners = dataclasses.field(default_factory=Listeners)
+    gateway: Gateway = dataclasses.field(default_factory=Gateway)
+    retries: Retries = dataclasses.field(default_factory=Retries)
+    duties: Duties = dataclasses.field(default_factory=Duties)
 
 
 SECRET_KEYS = frozenset(('secret', 'operator_token'))
--- a/citronjunction/control/holder.py
+++ b/citronjunction/control/holder.py
@@ -4,8 +4,8 @@
 
 from citronjunction.conf import models as conf
 from citronjunction.leases import models
-from citronjunction.platform import models as platform
-from citronjunction.platform import object_api
+from citronjunction.store import models as platform
+from citronjunction.store import object_api
 
 KIND = 'leases'
 READ_S = 2.0  # shortest time between reads of a lease held elsewhere
--- a/citronjunction/control/node.py
+++ b/citronjunction/control/node.py
@@ -10,8 +10,8 @@
 from citronjunction.membership import facts, messages
 from citronjunction.observability import decisions
 from citronjunction.peering import node
-from citronjunction.platform import hosts, object_api
-from citronjunction.platform import models as platform
+from citronjunction.store import hosts, object_api
+from citronjunction.store import models as platform
 from citronjunction.releases import status
 from citronjunction.transport import links, runtime
 
--- a/citronjunction/control/owner.py
+++ b/citronjunction/control/owner.py
@@ -9,8 +9,8 @@
 from citronjunction.membership import facts
 from citronjunction.observability import decisions
 from citronjunction.peering import evidence_rows, node
-from citronjunction.platform import models as platform
-from citronjunction.platform import object_api
+from citronjunction.store import models as platform
+from citronjunction.store import object_api
 from citronjunction.releases import evidence, mover, status
 
 
--- a/citronjunction/control/placing.py
+++ b/citronjunction/control/placing.py
@@ -8,8 +8,8 @@
 from citronjunction.observability import decisions
 from citronjunction.peering import node
 from citronjunction.placement import models, planner
-from citronjunction.platform import hosts, object_api
-from citronjunction.platform import models as platform
+from citronjunction.store import hosts, object_api
+from citronjunction.store import models as platform
 
 NAME = 'placement'
 PLAN_S = 5.0  # interval of plans
--- a/citronjunction/control/workers.py
+++ b/citronjunction/control/workers.py
@@ -5,7 +5,7 @@
 from absl import logging
 
 from citronjunction.engines import models as engines
-from citronjunction.platform import models as platform
+from citronjunction.store import models as platform
 from citronjunction.releases import mover
 from citronjunction.transport import http_client
 
--- /dev/null
+++ b/citronjunction/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Work that one entry at a time does under a lease."""
--- /dev/null
+++ b/citronjunction/duties/holder.py
@@ -0,0 +1,121 @@
+"""Holds the lease of the duties in the store."""
+
+import uuid
+from collections import abc
+
+from citronjunction.conf import models as conf
+from citronjunction.duties import models
+from citronjunction.leases import models as leases
+from citronjunction.observability import decisions
+from citronjunction.store import records
+from citronjunction.transport import deadlines
+
+KIND = 'citron-leases'
+NAME = 'duties'
+READ_S = 2.0  # shortest time between reads of a lease held elsewhere
+
+
+class Holder:
+    """Take, renew and lose the lease; times count suspensions of the host."""
+
+    __slots__ = (
+        'is_peer_holder',
+        'is_waiting',
+        'lease',
+        'log',
+        'name',
+        'read_at',
+        'store',
+        'timers',
+        'was_held',
+    )
+
+    def __init__(
+        self,
+        settings: conf.Duties,
+        name: str,
+        store: records.Store,
+        timers: deadlines.Deadlines,
+        log: decisions.DecisionLog,
+        is_peer_holder: abc.Callable[[], bool],
+    ) -> None:
+        """Take the entry's name and whether a live peer tells it holds it."""
+        self.name = name
+        self.store = store
+        self.timers = timers
+        self.log = log
+        self.is_peer_holder = is_peer_holder
+        unique = f'{name}/{uuid.uuid4().hex[:8]}'
+        self.lease = leases.Lease(unique, settings.lease_s, settings.margin_s)
+        self.is_waiting = False
+        self.was_held = False
+        self.read_at: float = 0
+
+    def get_fence(self) -> models.Fence | None:
+        """Return the fence for a call, or nothing if the lease may be lost."""
+        if not self.lease.is_held(self.timers.boot()):
+            return None
+        return models.Fence(self.name, self.lease.epoch)
+
+    def tick(self) -> None:
+        """Renew, take over or look at the lease."""
+        self._note_change()
+        if self.is_waiting:
+            return
+        now = self.timers.boot()
+        match self.lease.decide(now):
+            case leases.Write(record=record, expected=expected):
+                self._write(record, expected)
+            case leases.Read() if self._should_read(now):
+                self.read_at = now
+                self.is_waiting = True
+                self.store.read(KIND, NAME, self._on_read)
+
+    def release(self) -> None:
+        """Give the lease back, so that another may have it at once."""
+        match self.lease.release(self.timers.boot()):
+            case leases.Write(record=record, expected=expected):
+                self._write(record, expected)
+
+    def _should_read(self, now: float) -> bool:
+        if self.lease.is_uncertain and not self.read_at:
+            return True
+        return now - self.read_at >= READ_S and not self.is_peer_holder()
+
+    def _write(self, record: leases.LeaseRecord, expected: str) -> None:
+        self.is_waiting = True
+        spec = leases.encode(record)
+        if expected:
+            self.store.replace(KIND, NAME, spec, int(expected), self._on_write)
+        else:
+            self.store.create(KIND, NAME, spec, self._on_write)
+
+    def _on_read(self, result: records.ReadResult) -> None:
+        self.is_waiting = False
+        now = self.timers.boot()
+        match result:
+            case records.Record(spec=spec, revision=revision):
+                record = leases.decode(dict(spec))
+                self.lease.note_read(record, str(revision), now)
+            case records.Absent():
+                self.lease.note_read(None, '', now)
+
+    def _on_write(self, result: records.WriteResult) -> None:
+        self.is_waiting = False
+        match result:
+            case records.Record(revision=revision):
+                self.lease.note_written(str(revision), self.timers.boot())
+            case _:
+                self.lease.note_failed()
+                self.read_at = 0
+
+    def _note_change(self) -> None:
+        is_held = self.get_fence() is not None
+        if is_held != self.was_held:
+            self.was_held = is_held
+            self.log.write(
+                'lease',
+                NAME,
+                is_held=is_held,
+                epoch=self.lease.epoch,
+            )
--- /dev/null
+++ b/citronjunction/duties/ordering.py
@@ -0,0 +1,135 @@
+"""Orders workers under the lease."""
+
+from collections import abc
+
+from citronjunction.duties import models, scaling
+from citronjunction.gateway import models as gateway
+from citronjunction.gateway import services
+from citronjunction.observability import decisions
+
+DEMAND_WINDOW_S = 3.0  # over which demand is measured
+STEP_S = 0.5  # between decisions
+
+
+class WorkerOrderer:
+    """Turn the demand that entries tell into orders."""
+
+    __slots__ = (
+        'acting',
+        'cloud',
+        'get_offered',
+        'log',
+        'samples',
+        'scalers',
+        'stepped_at',
+    )
+
+    def __init__(
+        self,
+        acting: services.Services,
+        cloud: models.Cloud,
+        get_offered: abc.Callable[[str], float],
+        log: decisions.DecisionLog,
+    ) -> None:
+        """Take the fleet and the prompt tokens offered so far."""
+        self.acting = acting
+        self.cloud = cloud
+        self.get_offered = get_offered
+        self.log = log
+        self.scalers: dict[str, scaling.Scaler] = {}
+        self.samples: dict[str, list[tuple[float, float]]] = {}
+        self.stepped_at: float = 0
+
+    def step(self, get_fence: abc.Callable[[], models.Fence | None]) -> None:
+        """Decide and send the orders that are due."""
+        now = self.acting.timers.now()
+        if now - self.stepped_at < STEP_S or not self.acting.configuration:
+            return
+        self.stepped_at = now
+        for name, policy in self.acting.configuration.upstreams.items():
+            if policy.scaling is not None:
+                self._step_upstream(name, policy.scaling, get_fence, now)
+
+    def _step_upstream(
+        self,
+        name: str,
+        limits: gateway.Scaling,
+        get_fence: abc.Callable[[], models.Fence | None],
+        now: float,
+    ) -> None:
+        scaler = self.scalers.setdefault(name, scaling.Scaler(name))
+        situation = scaling.Situation(
+            limits,
+            self._count_workers(name),
+            self._measure_demand(name, now),
+        )
+        for order in scaler.decide(situation, now):
+            self._send(scaler, order, get_fence, now)
+
+    def _count_workers(
+        self,
+        upstream: str,
+    ) -> dict[tuple[str, bool], scaling.Standing]:
+        counted: dict[tuple[str, bool], scaling.Standing] = {}
+        for worker in self.acting.fleet.select(upstream):
+            key = (worker.entry.zone, worker.entry.is_reclaimable)
+            held = counted.get(key, scaling.Standing())
+            is_gone = worker.is_draining or worker.is_absent
+            counted[key] = scaling.Standing(
+                held.ready + (not is_gone),
+                held.leaving + is_gone,
+            )
+        return counted
+
+    def _measure_demand(self, upstream: str, now: float) -> float | None:
+        samples = self.samples.setdefault(upstream, [])
+        samples.append((now, self.get_offered(upstream)))
+        while now - samples[0][0] > DEMAND_WINDOW_S:
+            samples.pop(0)
+        first_at, first = samples[0]
+        last_at, last = samples[-1]
+        if last_at - first_at < DEMAND_WINDOW_S / 2 or last <= first:
+            return None
+        return (last - first) / (last_at - first_at)
+
+    def _send(
+        self,
+        scaler: scaling.Scaler,
+        order: models.WorkerOrder,
+        get_fence: abc.Callable[[], models.Fence | None],
+        now: float,
+    ) -> None:
+        fence = get_fence()
+        if fence is None:
+            return
+        scaler.note_sent(order, now)
+        self.log.write(
+            'order workers',
+            order.upstream,
+            zone=order.zone,
+            is_reclaimable=order.is_reclaimable,
+            count=order.count,
+            peak_tokens_per_s=round(scaler.peak),
+            epoch=fence.epoch,
+        )
+        self.cloud.order_workers(
+            order,
+            fence,
+            lambda result: self._on_result(scaler, order, result),
+        )
+
+    def _on_result(
+        self,
+        scaler: scaling.Scaler,
+        order: models.WorkerOrder,
+        result: models.CallResult,
+    ) -> None:
+        scaler.note_result(order, result, self.acting.timers.now())
+        if result is not models.CallResult.accepted:
+            self.log.write(
+                'order failed',
+                order.upstream,
+                zone=order.zone,
+                is_reclaimable=order.is_reclaimable,
+                result=result.value,
+            )
--- a/citronjunction/entry/attempt.py
+++ b/citronjunction/entry/attempt.py
@@ -89,12 +89,12 @@
             self.is_over = True
             self.call.cancel()
 
-    def on_head(self, status: int, headers: dict[str, str]) -> None:
+    def on_head(self, head: http_client.Head) -> None:
         """Take the status."""
-        self.status = status
-        self.headers = headers
-        content = headers.get('content-type', '')
-        self.is_stream = status == OK and content.startswith(
+        self.status = head.status
+        self.headers = head.headers
+        content = head.headers.get('content-type', '')
+        self.is_stream = head.status == OK and content.startswith(
             'text/event-stream',
         )
 
@@ -225,5 +225,7 @@
         body,
         settings.connect_s,
         settings.silence_s,
-        reuses_connection=is_repeatable,
+        max_idle_s=http_client.MAX_IDLE_S
+        if is_repeatable
+        else http_client.NO_REUSE_S,
     )
--- a/citronjunction/entry/claim_driver.py
+++ b/citronjunction/entry/claim_driver.py
@@ -5,8 +5,8 @@
 
 from citronjunction.attempts import claims
 from citronjunction.entry import models
-from citronjunction.platform import models as platform
-from citronjunction.platform import object_api
+from citronjunction.store import models as platform
+from citronjunction.store import object_api
 from citronjunction.transport import deadlines
 
 RECORD_RETRY_S = 1.0  # delay before a result is recorded again
--- a/citronjunction/entry/reclaim.py
+++ b/citronjunction/entry/reclaim.py
@@ -14,7 +14,7 @@
 from citronjunction.membership import facts, messages
 from citronjunction.organisations import models as organisations
 from citronjunction.peering import node
-from citronjunction.platform import models as platform
+from citronjunction.store import models as platform
 from citronjunction.transport import front, links, runtime
 from citronjunction.verdicts import models as verdicts
 
--- a/citronjunction/entry/watching.py
+++ b/citronjunction/entry/watching.py
@@ -7,8 +7,8 @@
 from citronjunction.entry import state
 from citronjunction.membership import facts, topology
 from citronjunction.peering import node
-from citronjunction.platform import hosts, object_api
-from citronjunction.platform import models as platform
+from citronjunction.store import hosts, object_api
+from citronjunction.store import models as platform
 from citronjunction.releases import status
 from citronjunction.transport import http_client, runtime
 from citronjunction.upstreams import models as upstreams
--- /dev/null
+++ b/citronjunction/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Data plane on a platform: routes, workers, attempts, quotas."""
--- /dev/null
+++ b/citronjunction/gateway/application.py
@@ -0,0 +1,98 @@
+"""Callers' requests: which are allowed, and as whose."""
+
+from citronjunction.gateway import flow, models, services
+from citronjunction.transport import front
+from citronjunction.verdicts import http
+from citronjunction.verdicts import models as verdicts
+
+NOT_FOUND = 404
+UNAUTHORISED = 401
+RETRY_AFTER_S = 0.4  # an entry learns its configuration within this time
+RETRY_ELSEWHERE_S = 0.05  # another entry serves the request at once
+
+
+class Application:
+    """Answer callers."""
+
+    def __init__(self, acting: services.Services) -> None:
+        """Take what requests act through."""
+        self.acting = acting
+
+    def handle(self, exchange: front.Exchange) -> None:
+        """Start a request that the configuration allows."""
+        request = self.acting.codec.decode_request(exchange.request)
+        configuration = self.acting.configuration
+        if configuration is None:
+            reason = 'this entry has no configuration yet'
+            self._refuse(exchange, request, reason, RETRY_AFTER_S)
+            return
+        if self.acting.is_leaving:
+            reason = 'this entry is stopping'
+            self._refuse(exchange, request, reason, RETRY_ELSEWHERE_S)
+            return
+        route = self.acting.routes.find(request.host, request.path)
+        if route is None:
+            reason = f'no route for {request.path}'
+            self._deny(exchange, request, NOT_FOUND, reason)
+            return
+        organisation = None
+        if configuration.organisations and not route.is_public:
+            name = configuration.keys.get(request.key)
+            if name is None:
+                reason = 'unknown key'
+                self._deny(exchange, request, UNAUTHORISED, reason)
+                return
+            organisation = configuration.organisations[name]
+        flow.Flow(self.acting, request, route, organisation, exchange).start()
+
+    def reject(
+        self,
+        exchange: front.Exchange,
+        status: int,
+        reason: str,
+    ) -> None:
+        """Answer a request that breaks the protocol or its bounds."""
+        self.acting.log.write('reject', '', status=status, reason=reason)
+        failure = verdicts.NotRun(reason, 0, status, 'invalid_request')
+        if status >= http.CLIENT_ERROR_LIMIT:
+            failure = verdicts.MayHaveRun(reason, status, 'internal')
+        _respond(exchange, failure)
+
+    def _refuse(
+        self,
+        exchange: front.Exchange,
+        request: models.CallerRequest,
+        reason: str,
+        delay_s: float,
+    ) -> None:
+        spread = 0.5 + self.acting.random.random()
+        self.acting.log.write('refuse', request.name, reason=reason)
+        _respond(exchange, verdicts.NotRun(reason, delay_s * spread))
+
+    def _deny(
+        self,
+        exchange: front.Exchange,
+        request: models.CallerRequest,
+        status: int,
+        reason: str,
+    ) -> None:
+        self.acting.log.write(
+            'deny',
+            request.name,
+            status=status,
+            reason=reason,
+            configuration=self.acting.configuration.version,
+        )
+        _respond(exchange, verdicts.NotRun(reason, 0, status, 'denied'))
+
+
+def _respond(exchange: front.Exchange, failure: verdicts.Failure) -> None:
+    headers = http.get_headers(failure)
+    headers['Content-Type'] = 'application/json'
+    match failure:
+        case verdicts.NotRun(retry_after_s=delay_s) if delay_s:
+            headers['Retry-After'] = f'{delay_s:.2f}'
+        case _:
+            headers.pop('Retry-After', None)
+    body = http.encode_error(failure, '')
+    exchange.respond(failure.status, headers, body)
--- /dev/null
+++ b/citronjunction/gateway/fleet.py
@@ -0,0 +1,134 @@
+"""Workers as an entry knows them, from the registry and from their answers."""
+
+import dataclasses
+from collections import abc
+
+from citronjunction.gateway import health, models
+
+ABSENCE_S = 1.4  # use of a worker whose entry vanished; under the drain bound
+RETURN_S = 2.2  # time that lapsed entries have to return after an outage
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Worker:
+    """Hold a worker; times are monotonic seconds.
+
+    ``running`` and ``unread_tokens`` count this entry's requests there, the
+    latter their prompt tokens before the first event. ``peer_running`` and
+    ``peer_unread_tokens`` are what the other entries told last.
+    """
+
+    entry: models.WorkerEntry
+    health: health.Health
+    running: int = 0
+    unread_tokens: int = 0
+    peer_running: int = 0
+    peer_unread_tokens: int = 0
+    is_retired: bool = False
+    is_absent: bool = False
+    leaves_at: float | None = None
+    cold_until: float = 0
+
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether the worker must get no new work."""
+        return (
+            self.is_retired or self.entry.state is models.WorkerState.draining
+        )
+
+    @property
+    def total_running(self) -> int:
+        """Return the requests of all entries there."""
+        return self.running + self.peer_running
+
+    @property
+    def total_unread(self) -> int:
+        """Return the prompt tokens that all entries wait for there."""
+        return self.unread_tokens + self.peer_unread_tokens
+
+
+class Fleet:
+    """Hold the workers by name."""
+
+    __slots__ = ('by_upstream', 'workers')
+
+    def __init__(self) -> None:
+        """Start without workers."""
+        self.workers: dict[str, Worker] = {}
+        self.by_upstream: dict[str, list[Worker]] = {}
+
+    def register(self, entry: models.WorkerEntry, now: float) -> Worker:
+        """Take a worker's entry; a new start is a new worker."""
+        known = self.workers.get(entry.name)
+        if known is None or entry.born_ms > known.entry.born_ms:
+            known = Worker(entry, health.Health())
+            self._replace(known)
+        elif entry.born_ms < known.entry.born_ms:
+            return known
+        elif _is_moved(known.entry, entry):
+            known.entry = entry
+            self._index()
+        known.entry = entry
+        known.is_absent = False
+        known.cold_until = now + entry.cold_s
+        if entry.leaves_in_s is not None and known.leaves_at is None:
+            known.leaves_at = now + entry.leaves_in_s
+        return known
+
+    def mark_absent(self, name: str) -> Worker | None:
+        """Note that a worker's entry vanished."""
+        known = self.workers.get(name)
+        if known is not None:
+            known.is_absent = True
+        return known
+
+    def remove(self, worker: Worker) -> None:
+        """Forget a worker; requests that run there end on their own."""
+        worker.is_retired = True
+        if self.workers.get(worker.entry.name) is worker:
+            self.workers.pop(worker.entry.name)
+            self._index()
+
+    def select(self, upstream: str) -> abc.Sequence[Worker]:
+        """Return the workers of an upstream."""
+        return self.by_upstream.get(upstream, ())
+
+    def take_peer_loads(
+        self,
+        loads: abc.Iterable[abc.Mapping[str, tuple[int, int]]],
+    ) -> None:
+        """Replace what the other entries told of their requests."""
+        running: dict[str, int] = {}
+        unread: dict[str, int] = {}
+        for load in loads:
+            for name, (requests, tokens) in load.items():
+                running[name] = running.get(name, 0) + requests
+                unread[name] = unread.get(name, 0) + tokens
+        for name, worker in self.workers.items():
+            worker.peer_running = running.get(name, 0)
+            worker.peer_unread_tokens = unread.get(name, 0)
+
+    def measure_load(self) -> dict[str, tuple[int, int]]:
+        """Return this entry's requests by worker."""
+        return {
+            name: (worker.running, worker.unread_tokens)
+            for name, worker in self.workers.items()
+            if worker.running
+        }
+
+    def _replace(self, worker: Worker) -> None:
+        earlier = self.workers.get(worker.entry.name)
+        if earlier is not None:
+            earlier.is_retired = True
+        self.workers[worker.entry.name] = worker
+        self._index()
+
+    def _index(self) -> None:
+        self.by_upstream = {}
+        for worker in self.workers.values():
+            upstream = worker.entry.upstream
+            self.by_upstream.setdefault(upstream, []).append(worker)
+
+
+def _is_moved(old: models.WorkerEntry, new: models.WorkerEntry) -> bool:
+    return old.upstream != new.upstream
--- /dev/null
+++ b/citronjunction/gateway/flow.py
@@ -0,0 +1,420 @@
+"""One caller's request on its way to an answer."""
+
+from citronjunction.attempts import suspects
+from citronjunction.gateway import (
+    attempt,
+    choosing,
+    evidence,
+    models,
+    outlet,
+    quotas,
+    services,
+)
+from citronjunction.transport import deadlines, front
+from citronjunction.verdicts import models as verdicts
+
+CONNECT_S = 0.3  # a worker accepts within milliseconds, unless it is gone
+FRESH_IDLE_S = 1.0  # reuse of connections by requests that may run once
+LONG_IDLE_S = 8.0
+RETRY_AFTER_S = 0.3  # a full worker frees a slot within a few answers
+GATEWAY_TIMEOUT = 504  # HTTP status
+OVER_QUOTA = 429  # HTTP status
+MAX_PRIORITY = 9  # least urgent
+MIN_TIME_LEFT_S = 0.02  # shorter than any answer takes
+
+
+class Flow:
+    """Carry a request over its attempts; times are monotonic seconds."""
+
+    __slots__ = (
+        'acting',
+        'attempt',
+        'cost',
+        'deadline',
+        'deadline_at',
+        'fingerprint',
+        'is_begun',
+        'is_over',
+        'is_trial',
+        'last_event',
+        'organisation',
+        'outlet',
+        'request',
+        'route',
+        'run',
+        'tried',
+        'upstream',
+    )
+
+    def __init__(
+        self,
+        acting: services.Services,
+        request: models.CallerRequest,
+        route: models.Route,
+        organisation: models.Organisation | None,
+        exchange: front.Exchange,
+    ) -> None:
+        """Take a request that the configuration allows."""
+        self.acting = acting
+        self.request = request
+        self.route = route
+        self.organisation = organisation
+        is_stream = route.kind is models.RouteKind.stream
+        self.outlet = outlet.Outlet(exchange, is_stream=is_stream)
+        limit_s = route.timeout_s
+        if request.deadline_s is not None:
+            limit_s = min(limit_s, request.deadline_s)
+        self.deadline_at = request.arrived_at + limit_s
+        self.deadline: deadlines.Deadline | None = None
+        self.run = evidence.Run(route.is_idempotent, route.max_workers)
+        self.fingerprint = suspects.compute_fingerprint(
+            request.key,
+            request.path,
+            request.body,
+        )
+        self.attempt: attempt.Attempt | None = None
+        self.tried: list[object] = []
+        self.cost: float = 0
+        self.last_event = request.last_event
+        self.upstream = ''
+        self.is_trial = False
+        self.is_begun = False
+        self.is_over = False
+
+    def start(self) -> None:
+        """Choose the upstream and make the first attempt."""
+        acting = self.acting
+        now = acting.timers.now()
+        acting.flows.add(self)
+        self.outlet.exchange.on_gone = self._on_caller_gone
+        self.deadline = acting.timers.call_later(
+            max(0, self.deadline_at - now),
+            self._on_deadline,
+        )
+        if acting.suspects.is_refused(self.fingerprint, now):
+            text = 'this request was running when several workers crashed'
+            delay_s = acting.settings.attempts.suspect_s
+            self._finish(verdicts.NotRun(text, delay_s, code='suspect_request'))
+            return
+        over = self._charge(now)
+        if over is not None:
+            self._finish(over)
+            return
+        self.upstream = self._draw_upstream()
+        self.is_trial = acting.rollouts.draws_trial(self.upstream)
+        acting.get_budget(self.upstream).record_request(now)
+        tokens = self.request.prompt.prompt_tokens if self.request.prompt else 1
+        offered = acting.offered
+        offered[self.upstream] = offered.get(self.upstream, 0) + tokens
+        self._try_worker()
+
+    def on_start(
+        self,
+        source: attempt.Attempt,
+        answer: models.AnswerHead,
+        part: bytes,
+    ) -> None:
+        """Start to relay a successful answer, or go on with one."""
+        self._note_begun()
+        self._release_prompt(source)
+        self.outlet.start(answer)
+        self.on_part(source, part)
+
+    def on_part(self, source: attempt.Attempt, part: bytes) -> None:
+        """Relay a part of the answer."""
+        if source.reader.last_id:
+            self.last_event = source.reader.last_id
+        self.outlet.push(part)
+
+    def on_whole(self, source: attempt.Attempt) -> None:
+        """End the relayed answer."""
+        self._close_attempt(source, is_good=True)
+        self.outlet.finish()
+        self._close('answered', source.answer.status)
+
+    def on_answered(
+        self,
+        source: attempt.Attempt,
+        answer: models.AnswerHead,
+        body: bytes,
+    ) -> None:
+        """Relay a whole answer, unless another attempt may do better."""
+        self._note_begun()
+        is_good = answer.status < attempt.SERVER_ERROR
+        self._close_attempt(source, is_good=is_good)
+        if not is_good and not self.outlet.is_started:
+            failed = evidence.Failed(
+                evidence.Evidence.may_have_run,
+                f'the worker answered {answer.status}',
+                'upstream_error',
+            )
+            self.run.note(failed)
+            if self._try_again(failed):
+                return
+        self.outlet.answer(answer, body)
+        self._close('answered', answer.status)
+
+    def on_failed(
+        self,
+        source: attempt.Attempt,
+        failed: evidence.Failed,
+    ) -> None:
+        """Try again, go on elsewhere, or give up."""
+        self._close_attempt(source, is_good=None)
+        self._note_worker(source, failed)
+        if failed.evidence is evidence.Evidence.may_have_run:
+            self._note_begun()
+        self.run.note(failed)
+        if self._try_again(failed):
+            return
+        self._give_up(failed)
+
+    def cancel(self, reason: str) -> None:
+        """Drop the request without an answer."""
+        if self.is_over:
+            return
+        if self.attempt is not None:
+            self.attempt.cancel()
+            self._close_attempt(self.attempt, is_good=None)
+        self._close(reason, 0)
+
+    def _charge(self, now: float) -> verdicts.NotRun | None:
+        if self.organisation is None:
+            return None
+        cost = quotas.compute_cost(self.organisation, self.request.prompt)
+        over = self.acting.quotas.admit(self.organisation, cost, now)
+        if over is None:
+            self.cost = cost
+            return None
+        text = f'{self.organisation.name} is over its quota'
+        return verdicts.NotRun(text, over.wait_s, OVER_QUOTA, 'over_quota')
+
+    def _draw_upstream(self) -> str:
+        targets = self.route.targets
+        if len(targets) == 1:
+            return targets[0].upstream
+        weights = [target.weight for target in targets]
+        drawn = self.acting.random.choices(targets, weights)
+        return drawn[0].upstream
+
+    def _try_worker(self) -> None:
+        acting = self.acting
+        now = acting.timers.now()
+        found = acting.chooser.choose(
+            self.upstream,
+            self.request.prompt,
+            self.tried,
+            now,
+            self._allows,
+        )
+        if found is None and self.is_trial:
+            self.is_trial = False
+            self._try_worker()
+            return
+        if found is None:
+            reason = f'no worker of {self.upstream} is available'
+            self._give_up(
+                evidence.Failed(
+                    evidence.Evidence.refused,
+                    reason,
+                    'no_worker',
+                ),
+            )
+            return
+        self._send(found, now)
+
+    def _allows(self, worker: object) -> bool:
+        return self.acting.rollouts.allows(worker, is_trial=self.is_trial)
+
+    def _send(self, found: choosing.Candidate, now: float) -> None:
+        worker = found.worker
+        self.tried.append(worker)
+        self.run.sends += 1
+        self.run.dials += 1
+        made = attempt.Attempt(
+            self,
+            worker,
+            self.acting.codec,
+            self.acting.timers,
+            is_stream=self.route.kind is models.RouteKind.stream,
+        )
+        self.attempt = made
+        worker.running += 1
+        if self.request.prompt is not None:
+            made.unread = self.request.prompt.prompt_tokens
+            worker.unread_tokens += made.unread
+        call = self.acting.codec.encode_call(
+            self.request,
+            self._assign(worker, now),
+        )
+        made.call = self.acting.client.send(call, made)
+
+    def _assign(self, worker: object, now: float) -> models.Assignment:
+        organisation = self.organisation
+        rank = self.route.rank
+        if organisation and organisation.rank is not None:
+            rank = organisation.rank
+        is_prompt = self.request.prompt is not None
+        max_idle_s = LONG_IDLE_S if self.route.is_idempotent else FRESH_IDLE_S
+        return models.Assignment(
+            worker.entry.name,
+            worker.entry.address,
+            max(MIN_TIME_LEFT_S, self.deadline_at - now),
+            organisation.name if organisation else '',
+            min(MAX_PRIORITY, rank) if is_prompt else None,
+            self.last_event,
+            CONNECT_S,
+            max_idle_s,
+        )
+
+    def _try_again(self, failed: evidence.Failed) -> bool:
+        now = self.acting.timers.now()
+        if self.deadline_at - now < MIN_TIME_LEFT_S:
+            return False
+        if self.outlet.is_started and not self.route.can_resume:
+            return False
+        match evidence.decide(self.run, failed, RETRY_AFTER_S):
+            case evidence.SendAgain(is_retry=is_retry):
+                budget = self.acting.get_budget(self.upstream)
+                if is_retry and not budget.spend(self.acting.entries, now):
+                    return False
+                self._log_retry(failed)
+                self._try_worker()
+                return True
+        return False
+
+    def _give_up(self, failed: evidence.Failed) -> None:
+        spread = 0.5 + self.acting.random.random()
+        self._finish(
+            evidence.conclude(self.run, failed, RETRY_AFTER_S * spread),
+        )
+
+    def _finish(self, failure: verdicts.Failure) -> None:
+        if self.is_over:
+            return
+        self.outlet.fail(failure)
+        if isinstance(failure, verdicts.NotRun):
+            self._refund()
+        self._close(failure.code, failure.status, failure.reason)
+
+    def _on_deadline(self) -> None:
+        if self.is_over:
+            return
+        text = 'the time for the answer passed'
+        code = 'deadline'
+        if self.attempt is None:
+            self._finish(verdicts.NotRun(text, RETRY_AFTER_S, code=code))
+            return
+        is_connecting = not self.attempt.call.is_sent
+        self.attempt.cancel()
+        self._close_attempt(self.attempt, is_good=None)
+        if self.run.may_have_run or not is_connecting:
+            self._note_begun()
+            self._finish(verdicts.MayHaveRun(text, GATEWAY_TIMEOUT, code))
+        else:
+            self._finish(verdicts.NotRun(text, RETRY_AFTER_S, code=code))
+
+    def _on_caller_gone(self) -> None:
+        self.cancel('caller_gone')
+
+    def _close_attempt(
+        self,
+        source: attempt.Attempt,
+        *,
+        is_good: bool | None,
+    ) -> None:
+        if self.attempt is not source:
+            return
+        self.attempt = None
+        self._release_prompt(source)
+        source.worker.running -= 1
+        if is_good is not None:
+            self._judge(source, is_good=is_good)
+
+    def _judge(self, source: attempt.Attempt, *, is_good: bool) -> None:
+        worker = source.worker
+        self.acting.rollouts.record(worker, is_good=is_good)
+        if is_good:
+            worker.health.record_success()
+            self.acting.suspects.clear(self.fingerprint)
+        elif worker.health.record_failure(self.acting.timers.now()):
+            self._log_ejection(worker, 'errors')
+
+    def _note_worker(
+        self,
+        source: attempt.Attempt,
+        failed: evidence.Failed,
+    ) -> None:
+        worker = source.worker
+        now = self.acting.timers.now()
+        match failed.evidence:
+            case evidence.Evidence.not_sent:
+                worker.health.record_unreachable(now)
+                self.acting.client.drop_idle(worker.entry.address)
+                self._log_ejection(worker, failed.reason)
+            case evidence.Evidence.may_have_run:
+                if worker.health.record_failure(now):
+                    self._log_ejection(worker, failed.reason)
+                if failed.code == 'connection_lost':
+                    self.acting.on_suspect(self.fingerprint, worker.entry.name)
+            case evidence.Evidence.refused:
+                if failed.code == 'misdirected':
+                    self.acting.fleet.remove(worker)
+                    self._log_ejection(worker, failed.reason)
+
+    def _release_prompt(self, source: attempt.Attempt) -> None:
+        source.worker.unread_tokens -= source.unread
+        source.unread = 0
+
+    def _note_begun(self) -> None:
+        if not self.is_begun:
+            self.is_begun = True
+            if self.organisation is not None:
+                self.acting.on_begun(self.organisation.name)
+
+    def _refund(self) -> None:
+        if self.organisation is not None and self.cost:
+            self.acting.quotas.refund(self.organisation, self.cost)
+            self.cost = 0
+
+    def _close(self, outcome: str, status: int, reason: str = '') -> None:
+        if self.is_over:
+            return
+        self.is_over = True
+        self.deadline.cancel()
+        self.acting.flows.discard(self)
+        self.outlet.exchange.on_gone = None
+        now = self.acting.timers.now()
+        self.acting.log.write(
+            'end',
+            self.request.name,
+            outcome=outcome,
+            status=status,
+            reason=reason,
+            route=self.route.name,
+            organisation=self.organisation.name if self.organisation else '',
+            workers=[worker.entry.name for worker in self.tried],
+            sends=self.run.sends,
+            is_started=self.outlet.is_started,
+            held_ms=round((now - self.request.arrived_at) * 1000),
+            configuration=self.acting.configuration.version,
+        )
+
+    def _log_retry(self, failed: evidence.Failed) -> None:
+        self.acting.log.write(
+            'retry',
+            self.request.name,
+            evidence=failed.evidence.value,
+            reason=failed.reason,
+            sends=self.run.sends,
+            last_event=self.last_event,
+        )
+
+    def _log_ejection(self, worker: object, reason: str) -> None:
+        self.acting.log.write(
+            'eject',
+            worker.entry.name,
+            upstream=worker.entry.upstream,
+            reason=reason,
+            until_s=round(worker.health.ejected_until, 3),
+        )
--- /dev/null
+++ b/citronjunction/gateway/node.py
@@ -0,0 +1,246 @@
+"""A gateway process: data plane, directory, peers and duties, joined."""
+
+import dataclasses
+
+from citronjunction.attempts import suspects
+from citronjunction.conf import models as conf
+from citronjunction.duties import (
+    clock,
+    holder,
+    models as duties,
+    ordering,
+    reporting,
+    usage,
+)
+from citronjunction.gateway import (
+    application,
+    choosing,
+    fleet,
+    ports,
+    quotas,
+    rollouts,
+    services,
+    sharing,
+    stopping,
+    watching,
+)
+from citronjunction.membership import facts, messages
+from citronjunction.observability import decisions
+from citronjunction.peering import node
+from citronjunction.store import records
+from citronjunction.transport import front, links, runtime
+
+EXPIRE_S = 0.5  # interval of the search for silent peers
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Adapter:
+    """Hold the platform's side of the ports."""
+
+    codec: ports.Codec
+    decoder: watching.Decoder
+    store: records.Store
+    cloud: duties.Cloud
+
+
+class GatewayNode:
+    """Run a gateway in a process."""
+
+    def __init__(
+        self,
+        loop: runtime.Runtime,
+        settings: conf.Settings,
+        adapter: Adapter,
+    ) -> None:
+        """Build all parts from the settings."""
+        self.loop = loop
+        self.settings = settings
+        timers = loop.timers
+        self.name = settings.process.name
+        self.incarnation = int(timers.wall() * 1000)
+        self.sequence = 0
+        self.announced_at: float = 0
+        self.clock = clock.SteadyClock(timers)
+        self.log = decisions.DecisionLog(self.name, self.clock.now)
+        self.ledger = usage.UsageLedger(settings.duties.usage_window_s)
+        workers = fleet.Fleet()
+        self.acting = services.Services(
+            settings,
+            timers,
+            loop.client,
+            loop.random,
+            adapter.codec,
+            workers,
+            choosing.Chooser(workers, settings.process.zone, loop.random),
+            quotas.Quotas(timers.now()),
+            rollouts.Rollouts(loop.random),
+            suspects.Suspects(settings.attempts),
+            self.log,
+            self._on_begun,
+            self._on_suspect,
+        )
+        self.peers = node.PeerNode(loop, settings, self.name, self)
+        self.watcher = watching.Watcher(
+            self.acting,
+            adapter.store,
+            adapter.decoder,
+            self._on_configuration,
+        )
+        self.sharing = sharing.Sharing(
+            self.acting,
+            self.peers,
+            self.ledger,
+            self.clock,
+            self.incarnation,
+        )
+        self.holder = holder.Holder(
+            settings.duties,
+            self.name,
+            adapter.store,
+            timers,
+            self.log,
+            self.sharing.is_peer_holder,
+        )
+        self.reporter = reporting.UsageReporter(
+            settings.duties,
+            adapter.store,
+            adapter.cloud,
+            self.ledger,
+            self.clock,
+            self.log,
+        )
+        self.orderer = ordering.WorkerOrderer(
+            self.acting,
+            adapter.cloud,
+            self.sharing.get_offered,
+            self.log,
+        )
+        self.app = application.Application(self.acting)
+        self.front = front.Front(
+            loop.sockets,
+            timers,
+            settings.http,
+            self.app,
+        )
+        self.stopper = stopping.Stopper(self)
+
+    def start(self) -> None:
+        """Listen, and start all timers."""
+        self.loop.sockets.listen(
+            *split_address(self.settings.listeners.front),
+            self.front.accept,
+        )
+        self.peers.listen(*split_address(self.settings.listeners.control))
+        self.announce()
+        self.peers.start()
+        self.watcher.start()
+        self.sharing.start()
+        timers = self.loop.timers
+        timers.call_every(self.settings.membership.heartbeat_s, self._beat)
+        timers.call_every(self.settings.duties.tick_s, self._do_duties)
+        timers.call_every(EXPIRE_S, self.sharing.expire)
+        self.loop.on_stop = self.stopper.stop
+        self.log.write('start', self.name, zone=self.settings.process.zone)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should use this entry."""
+        return self.watcher.is_synced and not self.stopper.is_stopping
+
+    def list_addresses(self) -> list[str]:
+        """Return the addresses of entries that take callers' requests."""
+        now = self.loop.timers.now()
+        live = {
+            state.address: state.name
+            for state in self.peers.presence.select_live(now)
+            if state.name != self.name and state.revision
+        }
+        if self.is_ready():
+            live[self.settings.listeners.front] = self.name
+        addresses = list(live)
+        self.loop.random.shuffle(addresses)
+        return addresses
+
+    def announce(self) -> None:
+        """Tell peers the state of this entry; revision 0 is not ready."""
+        self.sequence += 1
+        self.announced_at = self.loop.timers.now()
+        process = self.settings.process
+        configuration = self.acting.configuration
+        is_ready = self.is_ready()
+        self.peers.publish(
+            facts.EntryState(
+                self.name,
+                self.incarnation,
+                self.sequence,
+                self.settings.listeners.front,
+                self.settings.listeners.control,
+                process.zone,
+                process.region,
+                self.clock.now(),
+                self.stopper.is_stopping,
+                configuration.version if configuration and is_ready else 0,
+                len(self.acting.flows),
+            ),
+        )
+
+    def on_fact(self, fact: facts.Fact) -> None:
+        """Act on news of the peers."""
+        match fact:
+            case facts.LoadState():
+                self.sharing.take(fact)
+            case facts.EntryState():
+                self._take_entry(fact)
+            case facts.SuspectRequest():
+                self.acting.suspects.record_crash(
+                    fact.fingerprint,
+                    frozenset(fact.workers),
+                    self.loop.timers.now(),
+                )
+
+    def on_request(self, link: links.Link, message: messages.Message) -> None:
+        """Ignore messages that gateways do not use."""
+
+    def _take_entry(self, fact: facts.EntryState) -> None:
+        if fact.name == self.name:
+            return
+        if self.clock.note_peer(fact.name, fact.sent_at):
+            self.log.write('clock corrected', self.name)
+        configuration = self.acting.configuration
+        if configuration and fact.revision > configuration.version:
+            self.watcher.refresh(self.watcher.decoder.configuration_kind)
+
+    def _on_configuration(self) -> None:
+        limits = self.acting.configuration.limits
+        http = self.settings.http
+        http.max_head = limits.head_bytes
+        http.max_body = limits.body_bytes
+        http.idle_s = limits.idle_s + 1
+        self.announce()
+
+    def _on_begun(self, organisation: str) -> None:
+        self.ledger.note(organisation, self.clock.now())
+
+    def _on_suspect(self, fingerprint: int, worker: str) -> None:
+        self.peers.publish(
+            facts.SuspectRequest(fingerprint, (worker,), self.clock.now()),
+        )
+
+    def _beat(self) -> None:
+        if (
+            self.loop.timers.now() - self.announced_at
+            >= self.peers.presence.get_period()
+        ):
+            self.announce()
+
+    def _do_duties(self) -> None:
+        self.holder.tick()
+        self.sharing.is_holder = self.holder.get_fence() is not None
+        if self.sharing.is_holder:
+            self.reporter.step(self.holder.get_fence)
+            self.orderer.step(self.holder.get_fence)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of ``IP:PORT``."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/citronjunction/gateway/outlet.py
@@ -0,0 +1,60 @@
+"""The one answer that a caller gets."""
+
+from citronjunction.gateway import models
+from citronjunction.transport import front
+from citronjunction.verdicts import http
+from citronjunction.verdicts import models as verdicts
+
+
+class Outlet:
+    """Write a relayed answer or a failure, once."""
+
+    __slots__ = ('exchange', 'is_started', 'is_stream')
+
+    def __init__(self, exchange: front.Exchange, *, is_stream: bool) -> None:
+        """Take the caller's exchange."""
+        self.exchange = exchange
+        self.is_stream = is_stream
+        self.is_started = False
+
+    def start(self, answer: models.AnswerHead) -> None:
+        """Send the head of the first worker's answer."""
+        if self.is_started:
+            return
+        self.is_started = True
+        # A resumed stream may have another length than its first worker's.
+        length = None if self.is_stream else answer.length
+        self.exchange.start(answer.status, answer.fields, length)
+
+    def push(self, part: bytes) -> None:
+        """Relay a part of the body."""
+        self.exchange.push(part)
+
+    def finish(self) -> None:
+        """End the answer as whole."""
+        self.exchange.finish()
+
+    def answer(self, answer: models.AnswerHead, body: bytes) -> None:
+        """Relay a whole answer."""
+        if self.is_started:
+            self.exchange.abort()
+            return
+        self.is_started = True
+        self.exchange.start(answer.status, answer.fields, len(body))
+        self.exchange.push(body)
+        self.exchange.finish()
+
+    def fail(self, failure: verdicts.Failure) -> None:
+        """Answer with a failure, or cut an answer that has started."""
+        if self.is_started:
+            self.exchange.abort()
+            return
+        headers = http.get_headers(failure)
+        match failure:
+            case verdicts.NotRun(retry_after_s=delay_s):
+                headers['Retry-After'] = f'{delay_s:.2f}'
+            case verdicts.MayHaveRun():
+                pass
+        body = http.encode_error(failure, '')
+        headers['Content-Type'] = 'application/json'
+        self.exchange.respond(failure.status, headers, body)
--- /dev/null
+++ b/citronjunction/gateway/services.py
@@ -0,0 +1,68 @@
+"""What requests of a gateway act through."""
+
+import dataclasses
+import random
+from collections import abc
+
+from citronjunction.attempts import suspects
+from citronjunction.conf import models as conf
+from citronjunction.gateway import (
+    budgets,
+    choosing,
+    fleet,
+    matching,
+    models,
+    ports,
+    quotas,
+    rollouts,
+)
+from citronjunction.observability import decisions
+from citronjunction.transport import deadlines, http_client
+
+
+@dataclasses.dataclass(slots=True)
+class Services:
+    """Hold the aggregates and the flows of a gateway."""
+
+    settings: conf.Settings
+    timers: deadlines.Deadlines
+    client: http_client.HttpClient
+    random: random.Random
+    codec: ports.Codec
+    fleet: fleet.Fleet
+    chooser: choosing.Chooser
+    quotas: quotas.Quotas
+    rollouts: rollouts.Rollouts
+    suspects: suspects.Suspects
+    log: decisions.DecisionLog
+    on_begun: abc.Callable[[str], None]
+    on_suspect: abc.Callable[[int, str], None]
+    configuration: models.Configuration | None = None
+    routes: matching.RouteTable = dataclasses.field(
+        default_factory=lambda: matching.RouteTable(()),
+    )
+    retry_budgets: dict[str, budgets.RetryBudget] = dataclasses.field(
+        default_factory=dict,
+    )
+    offered: dict[str, float] = dataclasses.field(default_factory=dict)
+    flows: set[object] = dataclasses.field(default_factory=set)
+    entries: int = 1
+    is_leaving: bool = False
+
+    def get_budget(self, upstream: str) -> budgets.RetryBudget:
+        """Return the retry budget of an upstream."""
+        held = self.retry_budgets.get(upstream)
+        if held is None:
+            limits = self.settings.retries
+            held = budgets.RetryBudget(
+                limits.ratio,
+                limits.window_s,
+                limits.slack,
+            )
+            self.retry_budgets[upstream] = held
+        return held
+
+    def apply(self, configuration: models.Configuration) -> None:
+        """Put a configuration in force."""
+        self.configuration = configuration
+        self.routes = matching.RouteTable(configuration.routes)
--- /dev/null
+++ b/citronjunction/gateway/sharing.py
@@ -0,0 +1,107 @@
+"""What a gateway tells its peers and hears from them."""
+
+from citronjunction.duties import clock, usage
+from citronjunction.gateway import services
+from citronjunction.membership import facts
+from citronjunction.peering import node
+
+INTERVAL_S = 0.25  # between reports; quotas overshoot by this much use
+
+
+class Sharing:
+    """Publish this entry's load and merge that of its peers."""
+
+    def __init__(
+        self,
+        acting: services.Services,
+        peers: node.PeerNode,
+        ledger: usage.UsageLedger,
+        steady: clock.SteadyClock,
+        incarnation: int,
+    ) -> None:
+        """Take what is told and where peers' reports go."""
+        self.acting = acting
+        self.peers = peers
+        self.ledger = ledger
+        self.clock = steady
+        self.incarnation = incarnation
+        self.sequence = 0
+        self.loads: dict[str, facts.LoadState] = {}
+        self.heard_at: dict[str, float] = {}
+        self.is_holder = False
+        self.told: tuple[object, ...] = ()
+
+    def start(self) -> None:
+        """Start to publish."""
+        self.acting.timers.call_every(INTERVAL_S, self.publish)
+
+    def publish(self) -> None:
+        """Tell the load of this entry; it is also its sign of life."""
+        self.sequence += 1
+        acting = self.acting
+        self.peers.publish(
+            facts.LoadState(
+                self.peers.own_name,
+                self.incarnation,
+                self.sequence,
+                acting.fleet.measure_load(),
+                {
+                    name: round(used)
+                    for name, used in acting.quotas.used.items()
+                },
+                dict(acting.offered),
+                {key: dict(held) for key, held in self.ledger.own.items()},
+                self.is_holder,
+            ),
+        )
+
+    def take(self, fact: facts.LoadState) -> None:
+        """Merge what a peer told."""
+        if fact.name == self.peers.own_name:
+            return
+        now = self.acting.timers.now()
+        self.loads[fact.name] = fact
+        self.heard_at[fact.name] = now
+        self.acting.quotas.take_report(
+            fact.name,
+            fact.incarnation,
+            fact.used,
+            now,
+        )
+        self.ledger.take_report(fact.name, fact.incarnation, fact.windows)
+        self._merge_loads(now)
+
+    def get_offered(self, upstream: str) -> float:
+        """Return the prompt tokens offered to all live entries so far."""
+        own = self.acting.offered.get(upstream, 0)
+        told = (load.offered.get(upstream, 0) for load in self.loads.values())
+        return own + sum(told)
+
+    def is_peer_holder(self) -> bool:
+        """Tell whether a live peer says that it holds the duties."""
+        now = self.acting.timers.now()
+        return any(
+            load.is_holder and self._is_live(name, now)
+            for name, load in self.loads.items()
+        )
+
+    def expire(self) -> None:
+        """Forget peers that are silent for long."""
+        now = self.acting.timers.now()
+        for name in tuple(self.loads):
+            if not self._is_live(name, now):
+                self.loads.pop(name)
+                self.acting.quotas.forget(name)
+        self._merge_loads(now)
+        self.acting.entries = 1 + len(self.loads)
+
+    def _is_live(self, name: str, now: float) -> bool:
+        limit_s = self.acting.settings.membership.lost_after_s
+        return now - self.heard_at.get(name, 0) <= limit_s
+
+    def _merge_loads(self, now: float) -> None:
+        self.acting.fleet.take_peer_loads(
+            load.running
+            for name, load in self.loads.items()
+            if self._is_live(name, now)
+        )
--- /dev/null
+++ b/citronjunction/gateway/stopping.py
@@ -0,0 +1,51 @@
+"""Graceful stop of a gateway."""
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from citronjunction.gateway import node
+
+REFUSE_AFTER_S = 2.6  # callers have read new addresses by then
+LAST_SHARE = 0.94  # of the grace; what still runs then is cut off by the kill
+IDLE_CHECK_S = 0.1
+SETTLE_S = 0.4  # after the last request, for answers on their way
+
+
+class Stopper:
+    """Leave the directory, finish running requests, then end."""
+
+    def __init__(self, owner: 'node.GatewayNode') -> None:
+        """Take the node to stop."""
+        self.owner = owner
+        self.is_stopping = False
+        self.stopped_at: float = 0
+        self.busy_at: float = 0
+
+    def stop(self) -> None:
+        """Begin to stop; a second signal changes nothing."""
+        if self.is_stopping:
+            return
+        self.is_stopping = True
+        owner = self.owner
+        self.stopped_at = owner.loop.timers.now()
+        self.busy_at = self.stopped_at
+        owner.log.write('stop', owner.name, flows=len(owner.acting.flows))
+        owner.front.is_closing = True
+        owner.holder.release()
+        owner.announce()
+        owner.sharing.publish()
+        owner.loop.timers.call_every(IDLE_CHECK_S, self._check)
+
+    def _check(self) -> None:
+        owner = self.owner
+        now = owner.loop.timers.now()
+        waited_s = now - self.stopped_at
+        if owner.acting.flows:
+            self.busy_at = now
+        if waited_s >= REFUSE_AFTER_S:
+            owner.acting.is_leaving = True
+        is_quiet = now - self.busy_at > SETTLE_S
+        is_late = waited_s > owner.settings.gateway.grace_s * LAST_SHARE
+        if is_late or (owner.acting.is_leaving and is_quiet):
+            owner.log.write('stopped', owner.name, cut=len(owner.acting.flows))
+            owner.loop.leave()
--- /dev/null
+++ b/citronjunction/gateway/watching.py
@@ -0,0 +1,198 @@
+"""Beliefs that come from the platform's store."""
+
+from collections import abc
+from typing import Protocol
+
+from citronjunction.gateway import fleet, models, services
+from citronjunction.store import mirror, records
+
+ROLLOUT_WAIT_FACTOR = 2  # rollouts are rare; their watch may wait longer
+MASS_SHARE = 0.5  # of an upstream's workers; more at once is a lapse
+
+
+class Decoder(Protocol):
+    """Decode stored objects into the product's types."""
+
+    configuration_kind: str
+    configuration_name: str
+    worker_kind: str
+    rollout_kind: str
+
+    def decode_configuration(self, spec: object) -> models.Configuration | None:
+        """Decode the configuration."""
+
+    def decode_worker(
+        self,
+        name: str,
+        spec: object,
+    ) -> models.WorkerEntry | None:
+        """Decode a worker's entry."""
+
+    def decode_rollout(
+        self,
+        record: records.Record,
+    ) -> models.Rollout | None:
+        """Decode an order to move an upstream."""
+
+
+class Watcher:
+    """Mirror configuration, workers and rollouts."""
+
+    def __init__(
+        self,
+        acting: services.Services,
+        store: records.Store,
+        decoder: Decoder,
+        on_configuration: abc.Callable[[], None],
+    ) -> None:
+        """Take the store, how to decode its objects, and who acts on them."""
+        self.acting = acting
+        self.decoder = decoder
+        self.on_configuration = on_configuration
+        wait_s = acting.settings.gateway.watch_s
+        self.mirrors = {
+            kind: mirror.Mirror(
+                kind,
+                store,
+                acting.timers,
+                acting.random,
+                self,
+                kind_wait_s,
+            )
+            for kind, kind_wait_s in (
+                (decoder.configuration_kind, wait_s),
+                (decoder.worker_kind, wait_s),
+                (decoder.rollout_kind, wait_s * ROLLOUT_WAIT_FACTOR),
+            )
+        }
+        self.returned_at: float | None = None
+
+    @property
+    def is_synced(self) -> bool:
+        """Tell whether configuration and workers are known."""
+        return (
+            self.acting.configuration is not None
+            and self.mirrors[self.decoder.worker_kind].is_synced
+        )
+
+    def start(self) -> None:
+        """Start all mirrors."""
+        for held in self.mirrors.values():
+            held.start()
+
+    def refresh(self, kind: str) -> None:
+        """List a kind again, since a peer knows something newer."""
+        held = self.mirrors[kind]
+        if held.is_synced:
+            held.is_synced = False
+            held.start()
+
+    def on_record(self, kind: str, record: records.Record) -> None:
+        """Take a new or changed object."""
+        if kind == self.decoder.configuration_kind:
+            self._take_configuration(record)
+        elif kind == self.decoder.worker_kind:
+            self._take_worker(record)
+        else:
+            self._take_rollout(record)
+
+    def on_removed(self, kind: str, name: str) -> None:
+        """Stop to use a worker whose entry vanished, after a grace."""
+        if kind != self.decoder.worker_kind:
+            return
+        worker = self.acting.fleet.mark_absent(name)
+        if worker is None:
+            return
+        grace_s = self._get_grace_s(worker)
+        self.acting.log.write(
+            'worker absent',
+            name,
+            upstream=worker.entry.upstream,
+            grace_s=round(grace_s, 3),
+        )
+        self.acting.timers.call_later(
+            grace_s,
+            lambda: self._remove_absent(worker),
+        )
+
+    def on_synced(self, kind: str) -> None:
+        """Log that a kind is known in full."""
+        self.acting.log.write('synced', kind)
+
+    def on_reachable(self, kind: str, *, is_reachable: bool) -> None:
+        """Note when the store was lost and when it returned."""
+        if is_reachable:
+            self.returned_at = self.acting.timers.now()
+        self.acting.log.write('store', kind, is_reachable=is_reachable)
+
+    def _get_grace_s(self, worker: fleet.Worker) -> float:
+        now = self.acting.timers.now()
+        if self.returned_at is not None:
+            since_return_s = now - self.returned_at
+            if since_return_s < fleet.RETURN_S:
+                return fleet.RETURN_S - since_return_s + fleet.ABSENCE_S / 2
+        if worker.entry.state is models.WorkerState.draining:
+            return 0
+        return fleet.ABSENCE_S
+
+    def _remove_absent(self, worker: fleet.Worker) -> None:
+        if worker.is_absent and not worker.is_retired:
+            self.acting.fleet.remove(worker)
+            self.acting.client.drop_idle(worker.entry.address)
+            self.acting.log.write('worker removed', worker.entry.name)
+
+    def _take_configuration(self, record: records.Record) -> None:
+        if record.name != self.decoder.configuration_name:
+            return
+        decoded = self.decoder.decode_configuration(record.spec)
+        known = self.acting.configuration
+        if decoded is None or (known and known.version >= decoded.version):
+            return
+        self.acting.apply(decoded)
+        self.acting.log.write(
+            'configuration',
+            str(decoded.version),
+            revision=record.revision,
+            routes=len(decoded.routes),
+        )
+        self.on_configuration()
+
+    def _take_worker(self, record: records.Record) -> None:
+        entry = self.decoder.decode_worker(record.name, record.spec)
+        if entry is None:
+            return
+        acting = self.acting
+        known = acting.fleet.workers.get(entry.name)
+        before = known and known.entry
+        worker = acting.fleet.register(entry, acting.timers.now())
+        if before is None or _is_news(before, entry):
+            acting.log.write(
+                'worker',
+                entry.name,
+                upstream=entry.upstream,
+                zone=entry.zone,
+                state=entry.state.value,
+                version=entry.version,
+                is_reclaimable=entry.is_reclaimable,
+                leaves_in_s=entry.leaves_in_s,
+                revision=record.revision,
+                running=worker.total_running,
+            )
+
+    def _take_rollout(self, record: records.Record) -> None:
+        rollout = self.decoder.decode_rollout(record)
+        if rollout is not None and self.acting.rollouts.take(rollout):
+            self.acting.log.write(
+                'rollout',
+                rollout.upstream,
+                target=rollout.target,
+                state=rollout.state.value if rollout.state else '',
+            )
+
+
+def _is_news(before: models.WorkerEntry, after: models.WorkerEntry) -> bool:
+    return (before.state, before.born_ms, before.version) != (
+        after.state,
+        after.born_ms,
+        after.version,
+    )
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -38,6 +38,31 @@
     kind: Literal['entry'] = 'entry'
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoadState:
+    """Tell what an entry does at workers and what organisations used.
+
+    ``running`` holds requests and unread prompt tokens by worker, ``used``
+    quota units by organisation and ``offered`` prompt tokens by upstream,
+    both since the start of the incarnation. ``windows`` holds requests begun
+    by usage window and organisation.
+    """
+
+    name: Text
+    incarnation: int
+    sequence: int
+    running: dict[str, tuple[int, int]] = dataclasses.field(
+        default_factory=dict,
+    )
+    used: dict[str, float] = dataclasses.field(default_factory=dict)
+    offered: dict[str, float] = dataclasses.field(default_factory=dict)
+    windows: dict[str, dict[str, int]] = dataclasses.field(
+        default_factory=dict,
+    )
+    is_holder: bool = False
+    kind: Literal['load'] = 'load'
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EvidenceRow:
     """Hold one test of a version on a route by a worker."""
@@ -115,6 +140,7 @@
 
 Fact = Union[
     EntryState,
+    LoadState,
     EvidenceState,
     ConfigurationState,
     TrafficState,
@@ -127,8 +153,8 @@
 def get_key(fact: Fact) -> str:
     """Return what the fact is about."""
     match fact:
-        case EntryState(name=name):
-            return f'entry/{name}'
+        case EntryState(name=name) | LoadState(name=name):
+            return f'{fact.kind}/{name}'
         case EvidenceState(name=name, upstream=upstream):
             return f'evidence/{name}/{upstream}'
         case ConfigurationState():
@@ -146,7 +172,7 @@
 def get_version(fact: Fact) -> Version:
     """Return the order of the fact among those with its key."""
     match fact:
-        case EntryState() | EvidenceState():
+        case EntryState() | LoadState() | EvidenceState():
             return fact.incarnation, fact.sequence
         case ConfigurationState(revision=revision):
             return revision, 0
--- a/citronjunction/platform/__init__.py
+++ b/citronjunction/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: Object API, cloud API, host list."""
+"""Adapter to the users' platform: their names, codecs, paths and headers."""
--- /dev/null
+++ b/citronjunction/platform/configuration.py
@@ -0,0 +1,245 @@
+"""Configuration objects of the platform, decoded into the product's types."""
+
+import pydantic
+from absl import logging
+from pydantic import alias_generators
+
+from citronjunction.gateway import models
+
+MS_PER_S = 1000
+KIND = 'config'
+NAME = 'main'
+ROLLOUT_KIND = 'rollouts'
+
+Number = float
+
+
+class WireModel(pydantic.BaseModel):
+    """Read camel-case names and ignore fields that are not known."""
+
+    model_config = pydantic.ConfigDict(
+        extra='ignore',
+        alias_generator=alias_generators.to_camel,
+    )
+
+
+class WireTarget(WireModel):
+    """One upstream of a split route."""
+
+    service: str
+    weight: Number = 1
+
+
+class WireRoute(WireModel):
+    """One route."""
+
+    name: str = ''
+    host: str
+    path_prefix: str
+    type: models.RouteKind = models.RouteKind.unsafe
+    service: str = ''
+    split: tuple[WireTarget, ...] = ()
+    timeout_ms: Number = 15000
+    target_latency_ms: Number = 0  # time within which an answer earns most
+    attempts: int = 1  # most workers that one caller's attempt may reach
+    priority: int = 5
+    public: bool = False
+    resumable: bool = False
+    sticky: bool = False  # set on routes whose requests describe a prompt
+
+
+class WireScaling(WireModel):
+    """Bounds and prices of workers in a data centre."""
+
+    min: int = 0
+    max: int = 0
+    boot_s: Number = 0
+    spot_price: Number = 1
+    zone_prices: dict[str, Number] = {}
+
+
+class WireEngine(WireModel):
+    """Figures of a model engine."""
+
+    slots: int = 1
+    kv_capacity: int = 0
+    moves: bool = False
+    backups: bool = False
+
+
+class WireService(WireModel):
+    """One upstream."""
+
+    name: str
+    health_path: str = ''
+    max_conns: int = 0
+    scaling: WireScaling | None = None
+    engine: WireEngine | None = None
+
+
+class WireTenant(WireModel):
+    """One organisation with its keys and quota."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    unit: str = 'requests'
+    plain_tokens: Number = 1  # cost of a request that states no tokens
+    rate_per_s: Number = 0
+    burst: Number = 0
+
+
+class WireLimits(WireModel):
+    """Bounds on callers."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: Number = 3000
+    idle_timeout_ms: Number = 15000
+
+
+class WireConfiguration(WireModel):
+    """The whole configuration."""
+
+    version: int
+    routes: tuple[WireRoute, ...] = ()
+    services: tuple[WireService, ...] = ()
+    tenants: tuple[WireTenant, ...] = ()
+    limits: WireLimits = WireLimits()
+
+
+class WireRollout(WireModel):
+    """An order to move an upstream to a version."""
+
+    service: str
+    target: str  # the version to move to
+    duration_s: Number = 60
+
+
+class WireRolloutStatus(WireModel):
+    """What the system has reported of a rollout."""
+
+    state: models.RolloutState
+    target: str
+
+
+def decode(spec: object) -> models.Configuration | None:
+    """Decode the configuration, or log why it is unusable."""
+    try:
+        wire = WireConfiguration.model_validate(spec)
+    except pydantic.ValidationError as error:
+        logging.error('configuration is malformed: %s', _summarise(error))
+        return None
+    return models.Configuration(
+        wire.version,
+        tuple(_build_route(route) for route in wire.routes),
+        {service.name: _build_upstream(service) for service in wire.services},
+        {tenant.name: _build_organisation(tenant) for tenant in wire.tenants},
+        {key: held.name for held in wire.tenants for key in held.api_keys},
+        models.CallerLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.header_timeout_ms / MS_PER_S,
+            wire.limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def decode_rollout(
+    spec: object,
+    status: object,
+    revision: int,
+) -> models.Rollout | None:
+    """Decode an order to move an upstream, or log why it is unusable."""
+    try:
+        wire = WireRollout.model_validate(spec)
+    except pydantic.ValidationError as error:
+        logging.error('rollout is malformed: %s', _summarise(error))
+        return None
+    return models.Rollout(
+        wire.service,
+        wire.target,
+        wire.duration_s,
+        revision,
+        _read_state(status, wire.target),
+    )
+
+
+def encode_rollout_status(
+    target: str,
+    state: models.RolloutState,
+) -> dict[str, object]:
+    """Encode how far a rollout is."""
+    return {'state': state.value, 'target': target}
+
+
+def _read_state(status: object, target: str) -> models.RolloutState | None:
+    if not status:
+        return None
+    try:
+        wire = WireRolloutStatus.model_validate(status)
+    except pydantic.ValidationError as error:
+        logging.warning('rollout status is malformed: %s', _summarise(error))
+        return None
+    return wire.state if wire.target == target else None
+
+
+def _build_route(wire: WireRoute) -> models.Route:
+    targets = tuple(
+        models.Target(part.service, part.weight) for part in wire.split
+    )
+    return models.Route(
+        wire.name,
+        wire.host,
+        wire.path_prefix,
+        wire.type,
+        targets or (models.Target(wire.service, 1),),
+        wire.timeout_ms / MS_PER_S,
+        wire.target_latency_ms / MS_PER_S,
+        max(1, wire.attempts),
+        wire.priority,
+        wire.public,
+        wire.resumable,
+        wire.sticky,
+    )
+
+
+def _build_upstream(wire: WireService) -> models.UpstreamPolicy:
+    scaling = None
+    if wire.scaling is not None:
+        scaling = models.Scaling(
+            wire.scaling.min,
+            wire.scaling.max,
+            wire.scaling.boot_s,
+            wire.scaling.spot_price,
+            wire.scaling.zone_prices,
+        )
+    engine = None
+    if wire.engine is not None:
+        engine = models.Engine(
+            wire.engine.slots,
+            wire.engine.kv_capacity,
+            wire.engine.moves,
+            wire.engine.backups,
+        )
+    return models.UpstreamPolicy(
+        wire.name,
+        wire.health_path,
+        wire.max_conns,
+        scaling,
+        engine,
+    )
+
+
+def _build_organisation(wire: WireTenant) -> models.Organisation:
+    unit = models.QuotaUnit.requests
+    if wire.unit == models.QuotaUnit.tokens.value:
+        unit = models.QuotaUnit.tokens
+    quota = models.Quota(wire.rate_per_s, wire.burst, unit, wire.plain_tokens)
+    return models.Organisation(wire.name, wire.priority, quota)
+
+
+def _summarise(error: pydantic.ValidationError) -> str:
+    first = error.errors(include_input=False, include_url=False)[0]
+    place = '.'.join(str(part) for part in first['loc'])
+    return f'{place}: {first["msg"]} ({error.error_count()} problems)'
--- /dev/null
+++ b/citronjunction/platform/decoder.py
@@ -0,0 +1,34 @@
+"""The adapter's side of decoding stored objects."""
+
+from citronjunction.gateway import models
+from citronjunction.platform import configuration, registry
+from citronjunction.store import records
+
+
+class PlatformDecoder:
+    """Decode stored objects into the product's types."""
+
+    configuration_kind = configuration.KIND
+    configuration_name = configuration.NAME
+    worker_kind = registry.KIND
+    rollout_kind = configuration.ROLLOUT_KIND
+
+    def decode_configuration(self, spec: object) -> models.Configuration | None:
+        """Decode the configuration."""
+        return configuration.decode(spec)
+
+    def decode_worker(
+        self,
+        name: str,
+        spec: object,
+    ) -> models.WorkerEntry | None:
+        """Decode a worker's entry."""
+        return registry.decode(name, spec)
+
+    def decode_rollout(self, record: records.Record) -> models.Rollout | None:
+        """Decode an order to move an upstream."""
+        return configuration.decode_rollout(
+            record.spec,
+            record.status,
+            record.revision,
+        )
--- /dev/null
+++ b/citronjunction/platform/ingress.py
@@ -0,0 +1,79 @@
+"""Callers' requests as the platform sends them."""
+
+from collections import abc
+
+from citronjunction.gateway import models
+from citronjunction.platform import names
+from citronjunction.transport import front
+
+MS_PER_S = 1000
+MAX_PARTS = 4096  # a caller's list of prompt parts is bounded by its head
+
+
+def decode(request: front.Request) -> models.CallerRequest:
+    """Decode a caller's request; malformed hints count as absent."""
+    headers = request.headers
+    target = request.path
+    if request.query:
+        target = f'{target}?{request.query}'
+    host, _, _ = headers.get('host', '').partition(':')
+    return models.CallerRequest(
+        headers.get(names.REQUEST_ID.lower(), ''),
+        host,
+        request.method,
+        target,
+        request.path,
+        _select_forwarded(headers),
+        request.body,
+        _read_key(headers),
+        _read_deadline(headers),
+        _read_prompt(headers),
+        headers.get(names.LAST_EVENT.lower(), ''),
+        request.arrived_at,
+    )
+
+
+def _select_forwarded(headers: abc.Mapping[str, str]) -> dict[str, str]:
+    named = headers.get('connection', '').lower()
+    dropped = {option.strip() for option in named.split(',')}
+    dropped |= names.CONNECTION_HEADERS | names.SYSTEM_HEADERS
+    return {name: text for name, text in headers.items() if name not in dropped}
+
+
+def _read_key(headers: abc.Mapping[str, str]) -> str:
+    text = headers.get('authorization', '')
+    if text[: len(names.BEARER)].lower() != names.BEARER:
+        return ''
+    return text[len(names.BEARER) :].strip()
+
+
+def _read_deadline(headers: abc.Mapping[str, str]) -> float | None:
+    text = headers.get(names.TIME_LEFT_MS.lower(), '')
+    try:
+        return max(0, float(text)) / MS_PER_S
+    except ValueError:
+        return None
+
+
+def _read_prompt(headers: abc.Mapping[str, str]) -> models.Prompt | None:
+    prompt_text, _, output_text = headers.get(
+        names.TOKENS.lower(),
+        '',
+    ).partition(',')
+    try:
+        prompt_tokens, output_tokens = int(prompt_text), int(output_text)
+    except ValueError:
+        return None
+    return models.Prompt(
+        headers.get(names.MODEL.lower(), ''),
+        prompt_tokens,
+        output_tokens,
+        tuple(_read_parts(headers.get(names.PROMPT_PARTS.lower(), ''))),
+    )
+
+
+def _read_parts(text: str) -> abc.Iterator[models.PromptPart]:
+    for part in text.split(',')[:MAX_PARTS]:
+        name, _, count = part.strip().partition(':')
+        if count.isdecimal():
+            yield models.PromptPart(name, int(count))
--- /dev/null
+++ b/citronjunction/platform/registry.py
@@ -0,0 +1,61 @@
+"""Entries that workers write about themselves."""
+
+import pydantic
+from absl import logging
+from pydantic import alias_generators
+
+from citronjunction.gateway import models
+
+MS_PER_S = 1000
+KIND = 'servers'
+
+
+class WireWorker(pydantic.BaseModel):
+    """A worker's entry; others may write entries that do not validate."""
+
+    model_config = pydantic.ConfigDict(
+        extra='ignore',
+        strict=True,
+        alias_generator=alias_generators.to_camel,
+    )
+
+    service: str = pydantic.Field(min_length=1)
+    addr: str = pydantic.Field(pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$')
+    zone: str
+    version: str = ''
+    slots: int = pydantic.Field(default=1, ge=1)
+    state: str
+    cold_left_ms: float = 0  # how much longer it is slow after its start
+    spot: bool = False
+    leaves_ms: float | None = pydantic.Field(
+        default=None,
+        alias='leaves_ms',
+    )  # time until a reclaim takes it
+    born: int = 0  # Unix milliseconds of its start
+
+
+def decode(name: str, spec: object) -> models.WorkerEntry | None:
+    """Decode an entry, or log why it names no worker."""
+    try:
+        wire = WireWorker.model_validate(spec)
+        state = models.WorkerState(wire.state)
+    except ValueError as error:
+        reason = str(error).replace('\n', ' ')[:200]
+        logging.warning('worker entry %.80s is malformed: %s', name, reason)
+        return None
+    leaves_in_s = None
+    if wire.leaves_ms is not None:
+        leaves_in_s = wire.leaves_ms / MS_PER_S
+    return models.WorkerEntry(
+        name,
+        wire.service,
+        wire.addr,
+        wire.zone,
+        wire.version,
+        wire.slots,
+        state,
+        wire.spot,
+        wire.born,
+        wire.cold_left_ms / MS_PER_S,
+        leaves_in_s,
+    )
--- /dev/null
+++ b/citronjunction/platform/upstream_calls.py
@@ -0,0 +1,83 @@
+"""Requests to workers and the evidence in their answers."""
+
+from collections import abc
+
+from citronjunction.gateway import models
+from citronjunction.platform import names
+from citronjunction.transport import http_client
+
+MS_PER_S = 1000
+MISDIRECTED = 421
+SILENCE_MARGIN_S = 1.0  # after the worker's own deadline
+ECHO = names.REQUEST_ID.lower()
+
+
+def encode(
+    request: models.CallerRequest,
+    assignment: models.Assignment,
+) -> http_client.Call:
+    """Encode the request for the worker that it is assigned to."""
+    headers = dict(request.headers)
+    headers[names.TIME_LEFT_MS] = str(
+        max(1, int(assignment.deadline_s * MS_PER_S)),
+    )
+    headers[names.EXPECTED_WORKER] = assignment.worker
+    if assignment.organisation:
+        headers[names.ORGANISATION] = assignment.organisation
+    if assignment.priority is not None:
+        headers[names.PRIORITY] = str(assignment.priority)
+    if assignment.last_event:
+        headers[names.LAST_EVENT] = assignment.last_event
+    return http_client.Call(
+        assignment.address,
+        request.method,
+        request.target,
+        headers,
+        request.body,
+        connect_s=assignment.connect_s,
+        silence_s=assignment.deadline_s + SILENCE_MARGIN_S,
+        max_idle_s=assignment.max_idle_s,
+        host=request.host,
+        echo=http_client.Echo(ECHO, request.name),
+    )
+
+
+def decode(head: http_client.Head) -> models.AnswerHead:
+    """Decode the head of a worker's answer."""
+    headers = head.headers
+    is_other = head.status == MISDIRECTED
+    return models.AnswerHead(
+        head.status,
+        tuple(_select_relayed(head)),
+        _read_length(headers),
+        is_refused=names.NOT_RUN.lower() in headers or is_other,
+        is_other_worker=is_other,
+        is_authentic=(
+            names.SIGNATURE.lower() in headers
+            and 'content-encoding' not in headers
+        ),
+        is_framed=head.is_framed,
+        closes=headers.get('connection', '').lower() == 'close',
+        load=_read_load(headers),
+    )
+
+
+def _select_relayed(
+    head: http_client.Head,
+) -> abc.Iterator[tuple[bytes, bytes]]:
+    for name, text in head.fields:
+        key = name.decode('latin-1').lower()
+        if key not in names.CONNECTION_HEADERS:
+            yield name, text
+
+
+def _read_length(headers: abc.Mapping[str, str]) -> int | None:
+    text = headers.get('content-length', '')
+    return int(text) if text.isdecimal() else None
+
+
+def _read_load(headers: abc.Mapping[str, str]) -> models.WorkerLoad | None:
+    parts = headers.get(names.LOAD.lower(), '').split(',')
+    if len(parts) != 3 or not all(part.isdecimal() for part in parts):
+        return None
+    return models.WorkerLoad(*(int(part) for part in parts))
--- a/citronjunction/releases/applying.py
+++ b/citronjunction/releases/applying.py
@@ -4,7 +4,7 @@
 from typing import Union
 
 from citronjunction.configuration import models as configuration
-from citronjunction.platform import models as platform
+from citronjunction.store import models as platform
 from citronjunction.releases import models, planning
 
 MAX_ROUNDS = 8
--- /dev/null
+++ b/citronjunction/store/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: Object API, cloud API, host list."""
--- a/citronjunction/platform/hosts.py
+++ b/citronjunction/store/hosts.py
@@ -4,7 +4,7 @@
 from collections import abc
 
 from citronjunction.conf import models as conf
-from citronjunction.platform import models
+from citronjunction.store import models
 from citronjunction.transport import http_client
 
 JSON_HEADERS = {'Content-Type': 'application/json'}
--- /dev/null
+++ b/citronjunction/store/mirror.py
@@ -0,0 +1,154 @@
+"""Local copy of the objects of one kind, kept by list and watch."""
+
+import random
+from typing import Protocol
+
+from citronjunction.store import records
+from citronjunction.transport import deadlines
+
+MIN_RETRY_S = 0.1  # first pause after a failed call
+MAX_RETRY_S = 0.6  # keeps a returned store's changes well inside 2 s
+
+
+class Listener(Protocol):
+    """Take changes of mirrored objects."""
+
+    def on_record(self, kind: str, record: records.Record) -> None:
+        """Take a new or changed object."""
+
+    def on_removed(self, kind: str, name: str) -> None:
+        """Learn that an object is gone."""
+
+    def on_synced(self, kind: str) -> None:
+        """Learn that the copy is complete."""
+
+    def on_reachable(self, kind: str, *, is_reachable: bool) -> None:
+        """Learn that the store was lost or has returned."""
+
+
+class Mirror:
+    """List a kind once, then watch it; list again when history is gone."""
+
+    def __init__(
+        self,
+        kind: str,
+        store: records.Store,
+        timers: deadlines.Deadlines,
+        source: random.Random,
+        listener: Listener,
+        wait_s: float,
+    ) -> None:
+        """Take the kind, the store, the listener and a watch's wait."""
+        self.kind = kind
+        self.store = store
+        self.timers = timers
+        self.random = source
+        self.listener = listener
+        self.wait_s = wait_s
+        self.held: dict[str, records.Record] = {}
+        self.listed: set[str] = set()
+        self.as_of = 0
+        self.turn = 0
+        self.failures = 0
+        self.is_synced = False
+        self.is_reachable = True
+
+    def start(self) -> None:
+        """List from the start; an earlier call's result is then ignored."""
+        self.turn += 1
+        self.listed.clear()
+        self._list('')
+
+    def offer(self, record: records.Record) -> None:
+        """Take an object that a peer holds, if it is newer."""
+        self._take(record)
+
+    def _list(self, after: str) -> None:
+        turn = self.turn
+        self.store.list_page(
+            self.kind,
+            after,
+            lambda result: self._on_list(turn, result),
+        )
+
+    def _on_list(self, turn: int, result: records.ListResult) -> None:
+        if turn != self.turn:
+            return
+        match result:
+            case records.Page():
+                self._note_reachable()
+                self._take_page(result)
+            case records.Unavailable():
+                self._retry(result.reason, self.start)
+
+    def _take_page(self, page: records.Page) -> None:
+        for record in page.records:
+            self.listed.add(record.name)
+            self._take(record)
+        if page.after:
+            self._list(page.after)
+            return
+        self.as_of = page.as_of
+        for name in set(self.held) - self.listed:
+            self._remove(name)
+        self.is_synced = True
+        self.listener.on_synced(self.kind)
+        self._watch()
+
+    def _watch(self) -> None:
+        turn = self.turn
+        self.store.watch(
+            self.kind,
+            self.as_of,
+            self.wait_s,
+            lambda result: self._on_watch(turn, result),
+        )
+
+    def _on_watch(self, turn: int, result: records.WatchResult) -> None:
+        if turn != self.turn:
+            return
+        match result:
+            case records.Changes():
+                self._note_reachable()
+                for change in result.changes:
+                    self._apply(change)
+                self.as_of = max(self.as_of, result.as_of)
+                self._watch()
+            case records.HistoryGone():
+                self.start()
+            case records.Unavailable():
+                self._retry(result.reason, self._watch)
+
+    def _apply(self, change: records.Change) -> None:
+        if change.is_removed:
+            self._remove(change.record.name)
+        else:
+            self._take(change.record)
+
+    def _take(self, record: records.Record) -> None:
+        known = self.held.get(record.name)
+        if known is None or known.revision < record.revision:
+            self.held[record.name] = record
+            self.listener.on_record(self.kind, record)
+
+    def _remove(self, name: str) -> None:
+        if self.held.pop(name, None) is not None:
+            self.listener.on_removed(self.kind, name)
+
+    def _note_reachable(self) -> None:
+        self.failures = 0
+        if not self.is_reachable:
+            self.is_reachable = True
+            self.listener.on_reachable(self.kind, is_reachable=True)
+
+    def _retry(self, reason: str, again: 'deadlines.Call') -> None:
+        self.failures += 1
+        if self.is_reachable:
+            self.is_reachable = False
+            self.listener.on_reachable(self.kind, is_reachable=False)
+        pause_s = min(MAX_RETRY_S, MIN_RETRY_S * 2**self.failures)
+        turn = self.turn
+        self.timers.call_later(
+            pause_s * (1 + self.random.random()) / 2,
+            lambda: again() if turn == self.turn else None,
+        )
--- a/citronjunction/platform/object_api.py
+++ b/citronjunction/store/object_api.py
@@ -4,7 +4,7 @@
 from collections import abc
 
 from citronjunction.conf import models as conf
-from citronjunction.platform import models
+from citronjunction.store import models
 from citronjunction.transport import http_client
 from citronjunction.verdicts import models as verdicts
 
@@ -124,11 +124,11 @@
             f'{PREFIX}/{self.kind}?watch=1',
             connect_s=settings.timeout_s,
             silence_s=WATCH_SILENCE_S,
-            reuses_connection=False,
+            max_idle_s=http_client.NO_REUSE_S,
         )
         self.api.client.send(call, self)
 
-    def on_head(self, status: int, headers: dict[str, str]) -> None:
+    def on_head(self, head: http_client.Head) -> None:
         """Ignore the head: an error body holds no event."""
 
     def on_data(self, chunk: bytes) -> None:
--- a/citronjunction/transport/deadlines.py
+++ b/citronjunction/transport/deadlines.py
@@ -9,6 +9,8 @@
 import circuits
 from circuits.core import handlers
 
+Call = abc.Callable[[], None]
+
 
 @dataclasses.dataclass(slots=True, order=True)
 class Deadline:
@@ -38,6 +40,10 @@
         """Return the monotonic time in seconds."""
         return time.monotonic()
 
+    def boot(self) -> float:
+        """Return seconds that also pass while the host is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> float:
         """Return the time in seconds since the epoch."""
         return time.time()
--- a/citronjunction/transport/front.py
+++ b/citronjunction/transport/front.py
@@ -1,6 +1,7 @@
 """HTTP server side: strict framing, bounds, streamed responses."""
 
 import dataclasses
+import http
 from collections import abc
 from typing import Protocol
 
@@ -21,13 +22,25 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Request:
-    """Hold one request; header names are in lower case."""
+    """Hold one request; header names are in lower case.
+
+    ``arrived_at`` is when its first byte came, in monotonic seconds.
+    """
 
     method: str
     path: str
     query: str
     headers: dict[str, str]
     body: bytes
+    arrived_at: float = 0
+
+
+def get_reason(status: int) -> bytes:
+    """Return the standard reason phrase of a status."""
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Unknown'
 
 
 class Application(Protocol):
@@ -43,7 +56,15 @@
 class Exchange:
     """Join one request to the response that belongs to it alone."""
 
-    __slots__ = ('connection', 'front', 'is_done', 'on_gone', 'request')
+    __slots__ = (
+        'connection',
+        'front',
+        'is_chunked',
+        'is_done',
+        'is_started',
+        'on_gone',
+        'request',
+    )
 
     def __init__(
         self,
@@ -56,6 +77,8 @@
         self.connection = connection
         self.request = request
         self.is_done = False
+        self.is_started = False
+        self.is_chunked = True
         self.on_gone: abc.Callable[[], None] | None = None
 
     def respond(
@@ -78,16 +101,39 @@
         response.headers['Transfer-Encoding'] = 'chunked'
         self._send_response(response, b'')
 
+    def start(
+        self,
+        status: int,
+        fields: abc.Iterable[tuple[bytes, bytes]],
+        length: int | None,
+    ) -> None:
+        """Send the head of a relayed response; no length means chunked."""
+        self.is_started = True
+        self.is_chunked = length is None
+        lines = [b'HTTP/1.1 %d %b' % (status, get_reason(status))]
+        lines.extend(b'%b: %b' % field for field in fields)
+        if length is None:
+            lines.append(b'Transfer-Encoding: chunked')
+        else:
+            lines.append(b'Content-Length: %d' % length)
+        if self.connection.is_closing:
+            lines.append(b'Connection: close')
+        lines.append(b'\r\n')
+        self.connection.send(b'\r\n'.join(lines))
+
     def push(self, chunk: bytes) -> None:
-        """Send one chunk of a started stream."""
-        if chunk and not self.is_done:
-            framed = b'%x\r\n%b\r\n' % (len(chunk), chunk)
-            self.connection.send(framed)
+        """Send a part of the body of a started response."""
+        if not chunk or self.is_done:
+            return
+        if self.is_chunked:
+            chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
+        self.connection.send(chunk)
 
     def finish(self) -> None:
-        """End a started stream as whole."""
+        """End a started response as whole."""
         if not self.is_done:
-            self.connection.send(STREAM_END)
+            if self.is_chunked:
+                self.connection.send(STREAM_END)
             self._end()
 
     def abort(self) -> None:
@@ -112,7 +158,7 @@
         response = wrappers.Response(request, status=status)
         for name, text in headers.items():
             response.headers[name] = text.replace('\r', ' ').replace('\n', ' ')
-        if not self.connection.keeps_alive:
+        if self.connection.is_closing:
             response.headers['Connection'] = 'close'
         return response
 
@@ -176,9 +222,14 @@
         """Close the connection now."""
         self.front.sockets.close(self.connection, reason)
 
+    @property
+    def is_closing(self) -> bool:
+        """Tell whether the connection ends after the response."""
+        return not self.keeps_alive or self.front.is_closing
+
     def complete(self) -> None:
         """Go on to the next request of the connection."""
-        if not self.keeps_alive or self.front.is_closing:
+        if self.is_closing:
             self.front.sockets.finish(self.connection)
             return
         self._reset()
@@ -263,7 +314,9 @@
     def _dispatch(self) -> None:
         trailing, _ = self.parser.trailing_data
         self.pending.extend(trailing)
-        self.exchange = Exchange(self.front, self, self._build_request())
+        request = self._build_request()
+        self.started_at = None
+        self.exchange = Exchange(self.front, self, request)
         try:
             self.front.application.handle(self.exchange)
         except Exception as error:
@@ -276,12 +329,20 @@
             return Request('GET', '/', '', {}, b'')
         target = self.head.target.decode('latin-1')
         path, _, query = target.partition('?')
-        headers = {
-            name.decode('latin-1'): text.decode('latin-1')
-            for name, text in self.head.headers
-        }
-        method = self.head.method.decode('latin-1')
-        return Request(method, path, query, headers, bytes(self.body))
+        headers: dict[str, str] = {}
+        for raw_name, raw_text in self.head.headers:
+            name = raw_name.decode('latin-1')
+            text = raw_text.decode('latin-1')
+            known = headers.get(name)
+            headers[name] = text if known is None else f'{known}, {text}'
+        return Request(
+            self.head.method.decode('latin-1'),
+            path,
+            query,
+            headers,
+            bytes(self.body),
+            self.started_at or self.front.timers.now(),
+        )
 
     def _reject(self, status: int, reason: str) -> None:
         self.keeps_alive = False
@@ -316,21 +377,22 @@
     def listen(self, address: str, port: int) -> int:
         """Start to listen; return the port."""
         self.host = address
-        self.port = self.sockets.listen(address, port, self._accept)
+        self.port = self.sockets.listen(address, port, self.accept)
         return self.port
 
-    def _accept(self, connection: sockets.Connection) -> HttpConnection:
+    def accept(self, connection: sockets.Connection) -> HttpConnection:
+        """Take a connection of a caller."""
         connection.max_unsent = self.settings.max_unsent
-        http = HttpConnection(self, connection)
-        self.connections.add(http)
+        receiver = HttpConnection(self, connection)
+        self.connections.add(receiver)
         if len(self.connections) > self.settings.max_connections:
             self.timers.call_later(
-                0, lambda: http.close('too many connections')
+                0, lambda: receiver.close('too many connections')
             )
-        return http
+        return receiver
 
     def _sweep(self) -> None:
         now = self.timers.now()
-        for http in tuple(self.connections):
-            if http.is_overdue(now):
-                http.close('idle or too slow')
+        for receiver in tuple(self.connections):
+            if receiver.is_overdue(now):
+                receiver.close('idle or too slow')
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -1,21 +1,38 @@
 """HTTP client side: pooled connections, streamed responses, verdicts."""
 
 import dataclasses
+import re
 from collections import abc
 from typing import Protocol
 
-import h11
-
 from citronjunction.transport import deadlines, responses, sockets
 from citronjunction.verdicts import models as verdicts
 
 MAX_IDLE_PER_ADDRESS = 32  # connections
 MAX_PLAIN_BODY = 8388608  # bytes of a response read whole
+MAX_UNSENT = 8388608  # bytes of a request that the server has not read
+MAX_IDLE_S = 8.0  # reuse of a connection whose server states no time
+NO_REUSE_S = -1.0  # idle time that no kept connection meets
+IDLE_SHARE = 0.7  # of the idle time that a server states
+BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
+KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Echo:
+    """Name a header that the server repeats, to match answers to calls."""
+
+    name: str
+    text: str
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Call:
-    """Describe one request to a server at ``IP:PORT``."""
+    """Describe one request to a server at ``IP:PORT``.
+
+    ``max_idle_s`` bounds how long a reused connection may have been idle.
+    An answer whose echo differs belongs to another call and is dropped.
+    """
 
     address: str
     method: str
@@ -24,14 +41,30 @@
     body: bytes = b''
     connect_s: float = 1.0
     silence_s: float = 20.0
-    reuses_connection: bool = True
+    max_idle_s: float = MAX_IDLE_S
+    host: str = ''
+    echo: Echo | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Head:
+    """Hold the head of a response; keys of ``headers`` are in lower case.
+
+    ``fields`` are the headers as they came. ``is_framed`` tells that the end
+    of the body does not depend on the end of the connection.
+    """
+
+    status: int
+    headers: dict[str, str]
+    fields: list[tuple[bytes, bytes]]
+    is_framed: bool = True
 
 
 class Sink(Protocol):
     """Take the response of a call."""
 
-    def on_head(self, status: int, headers: dict[str, str]) -> None:
-        """Take status and headers; names are in lower case."""
+    def on_head(self, head: 'Head') -> None:
+        """Take status and headers."""
 
     def on_data(self, chunk: bytes) -> None:
         """Take a part of the body."""
@@ -51,6 +84,7 @@
         'call',
         'client',
         'connection',
+        'idle_s',
         'is_sent',
         'is_head_told',
         'lost_code',
@@ -65,6 +99,7 @@
         self.address = call.address
         self.connection: sockets.Connection | None = None
         self.silence: deadlines.Deadline | None = None
+        self.idle_s = MAX_IDLE_S
         self.assign(call, sink)
 
     def assign(self, call: Call, sink: Sink) -> None:
@@ -78,19 +113,10 @@
 
     def on_open(self) -> None:
         """Send the request."""
-        call = self.call
-        headers = [('Host', call.address), *call.headers.items()]
-        if call.body:
-            headers.append(('Content-Length', str(len(call.body))))
-        request = h11.Request(
-            method=call.method,
-            target=call.path,
-            headers=headers,
-        )
-        head = h11.Connection(h11.CLIENT).send(request)
         self.is_sent = True
         self._watch_silence()
-        self.client.sockets.send(self.connection, head + call.body)
+        request = encode_head(self.call) + self.call.body
+        self.client.sockets.send(self.connection, request)
 
     def on_bytes(self, chunk: bytes) -> None:
         """Parse a part of the response."""
@@ -100,10 +126,23 @@
         try:
             part = self.reader.feed(chunk)
         except responses.ResponseError as error:
-            self.client.sockets.close(self.connection, f'bad response: {error}')
+            self._take_malformed(error)
             return
         self._tell(part)
 
+    def _take_malformed(self, error: responses.ResponseError) -> None:
+        if self.reader.is_whole and not self._is_foreign():
+            self.reader.keeps_alive = False
+            self._tell(self.reader.take_body())
+            return
+        self.client.sockets.close(self.connection, f'bad response: {error}')
+
+    def _is_foreign(self) -> bool:
+        echo = self.call.echo
+        if echo is None:
+            return False
+        return self.reader.headers.get(echo.name, echo.text) != echo.text
+
     def on_close(self, reason: str, was_open: bool) -> None:
         """Fail the call unless its response is whole."""
         self.client.forget(self)
@@ -122,7 +161,7 @@
         self.client.sockets.close(self.connection, 'cancelled')
 
     def _finish_at_close(self, reason: str) -> None:
-        if self.reader.finish():
+        if reason == sockets.CLOSED_BY_PEER and self.reader.finish():
             self._complete()
             return
         text = f'connection to {self.address} lost: {reason}'
@@ -135,9 +174,18 @@
 
     def _tell(self, part: bytes) -> None:
         reader = self.reader
+        if reader.has_head and self._is_foreign():
+            self._skip_foreign()
+            return
         if reader.has_head and not self.is_head_told:
             self.is_head_told = True
-            self.sink.on_head(reader.status, reader.headers)
+            head = Head(
+                reader.status,
+                reader.headers,
+                reader.fields,
+                reader.is_framed,
+            )
+            self.sink.on_head(head)
         if part and self.sink is not None:
             self.sink.on_data(part)
         if reader.is_whole and self.sink is not None:
@@ -147,12 +195,25 @@
         sink = self.sink
         self.sink = None
         self._stop_watching()
-        if self.reader.keeps_alive and not self.connection.is_closed:
+        if self._is_reusable():
             self.client.keep(self)
         else:
             self.client.sockets.close(self.connection, 'finished')
         sink.on_end()
 
+    def _skip_foreign(self) -> None:
+        if not self.reader.is_framed:
+            reason = 'an answer to another call, without a length'
+            self.client.sockets.close(self.connection, reason)
+        elif self.reader.is_whole:
+            self.reader = responses.ResponseReader()
+
+    def _is_reusable(self) -> bool:
+        connection = self.connection
+        if connection.is_closed or connection.unsent:
+            return False
+        return self.reader.keeps_alive
+
     def _watch_silence(self) -> None:
         limit_s = self.call.silence_s
         self.silence = self.client.timers.call_later(
@@ -192,9 +253,8 @@
 
     def send(self, call: Call, sink: Sink) -> Exchange:
         """Send a call; its response goes to the sink."""
-        idle = self.idle.get(call.address)
-        if idle and call.reuses_connection:
-            exchange = idle.pop()
+        exchange = self._take_idle(call)
+        if exchange is not None:
             exchange.assign(call, sink)
             exchange.on_open()
             return exchange
@@ -204,10 +264,31 @@
             exchange,
             call.connect_s,
         )
+        exchange.connection.max_unsent = MAX_UNSENT
         return exchange
 
+    def drop_idle(self, address: str) -> None:
+        """Close the idle connections to a server."""
+        for exchange in self.idle.pop(address, ()):
+            self.sockets.close(exchange.connection, 'no longer needed')
+
+    def _take_idle(self, call: Call) -> Exchange | None:
+        idle = self.idle.get(call.address)
+        now = self.timers.now()
+        while idle:
+            exchange = idle.pop()
+            quiet_s = now - exchange.connection.active_at
+            if quiet_s < exchange.idle_s:
+                if quiet_s <= call.max_idle_s:
+                    return exchange
+                idle.append(exchange)
+                return None
+            self.sockets.close(exchange.connection, 'idle for too long')
+        return None
+
     def keep(self, exchange: Exchange) -> None:
         """Keep the connection of a completed call for later calls."""
+        exchange.idle_s = get_idle_s(exchange.reader.headers)
         idle = self.idle.setdefault(exchange.address, [])
         if len(idle) < MAX_IDLE_PER_ADDRESS:
             idle.append(exchange)
@@ -247,10 +328,10 @@
         self.headers: dict[str, str] = {}
         self.body = bytearray()
 
-    def on_head(self, status: int, headers: dict[str, str]) -> None:
+    def on_head(self, head: Head) -> None:
         """Keep the head."""
-        self.status = status
-        self.headers = headers
+        self.status = head.status
+        self.headers = head.headers
 
     def on_data(self, chunk: bytes) -> None:
         """Keep a part of the body, up to a bound."""
@@ -260,3 +341,24 @@
     def on_end(self) -> None:
         """Pass the response on."""
         self.on_reply(Reply(self.status, self.headers, bytes(self.body)))
+
+
+def encode_head(call: Call) -> bytes:
+    """Encode the request line and headers of a call."""
+    lines = [
+        f'{call.method} {call.path} HTTP/1.1',
+        f'Host: {call.host or call.address}',
+    ]
+    lines.extend(f'{name}: {text}' for name, text in call.headers.items())
+    if call.body or call.method in BODY_METHODS:
+        lines.append(f'Content-Length: {len(call.body)}')
+    lines.append('\r\n')
+    return '\r\n'.join(lines).encode('latin-1')
+
+
+def get_idle_s(headers: abc.Mapping[str, str]) -> float:
+    """Return how long a kept connection may be reused."""
+    stated = KEEP_ALIVE_TIMEOUT.search(headers.get('keep-alive', ''))
+    if stated is None:
+        return MAX_IDLE_S
+    return IDLE_SHARE * int(stated.group(1))
--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -17,6 +17,7 @@
         'body',
         'has_head',
         'headers',
+        'fields',
         'is_framed',
         'is_whole',
         'keeps_alive',
@@ -28,6 +29,7 @@
         """Start before the first byte."""
         self.parser = httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
+        self.fields: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self.status = 0
         self.has_head = False
@@ -41,6 +43,10 @@
             self.parser.feed_data(chunk)
         except httptools.HttpParserError as error:
             raise ResponseError(str(error)) from error
+        return self.take_body()
+
+    def take_body(self) -> bytes:
+        """Return the part of the body not yet taken."""
         if not self.body:
             return b''
         part = b''.join(self.body)
@@ -62,12 +68,14 @@
         """Take a header."""
         key = name.decode('latin-1').lower()
         self.headers[key] = text.decode('latin-1')
+        self.fields.append((name, text))
 
     def on_headers_complete(self) -> None:
         """Take the status, or drop an interim response."""
         self.status = self.parser.get_status_code()
         if CONTINUE <= self.status < FIRST_FINAL:
             self.headers.clear()
+            self.fields.clear()
             return
         self.has_head = True
         self.is_framed = (
--- a/citronjunction/transport/runtime.py
+++ b/citronjunction/transport/runtime.py
@@ -30,6 +30,13 @@
         """End the loop."""
         self.stop()
 
+    def watch_reload(self, on_reload: abc.Callable[[], None]) -> None:
+        """Call at each SIGHUP, on the loop."""
+        signal.signal(
+            signal.SIGHUP,
+            lambda number, frame: self.timers.call_later(0, on_reload),
+        )
+
     @handlers.handler('signal', channel='*', priority=10)
     def _on_signal(self, event: circuits.Event, number: int, _: object) -> None:
         if number in STOP_SIGNALS:
--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -15,6 +15,11 @@
 BACKLOG = 1024  # connections
 MAX_ACCEPTS = 64  # connections accepted per turn of the loop
 IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
+CLOSED_BY_PEER = 'closed by peer'
+KEEPALIVE_IDLE_S = 1  # silence before the first probe
+KEEPALIVE_INTERVAL_S = 1  # between probes
+KEEPALIVE_PROBES = 2  # unanswered probes until a connection is lost
+UNACKNOWLEDGED_MS = 2000  # age of sent bytes that loses a connection
 
 
 class Receiver(Protocol):
@@ -83,7 +88,7 @@
         host, _, port = address.rpartition(':')
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_options(sock)
         connection = Connection(sock, address, receiver)
         self.connections[sock] = connection
         connection.dialling = self.timers.call_later(
@@ -162,7 +167,7 @@
             self.close(connection, str(error))
             return
         if not chunk:
-            self.close(connection, 'closed by peer')
+            self.close(connection, CLOSED_BY_PEER)
             return
         connection.active_at = self.timers.now()
         connection.receiver.on_bytes(chunk)
@@ -219,10 +224,21 @@
             except OSError:
                 return
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            set_options(sock)
             connection = Connection(sock, f'{address[0]}:{address[1]}')
             connection.is_open = True
             connection.active_at = self.timers.now()
             self.connections[sock] = connection
             self.poller.addReader(self, sock)
             connection.receiver = accept(connection)
+
+
+def set_options(sock: socket.socket) -> None:
+    """Send at once, and notice a peer that no longer answers."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- a/tests/attempts/test_claims.py
+++ b/tests/attempts/test_claims.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from citronjunction.attempts import claims
-from citronjunction.platform import models as platform
+from citronjunction.store import models as platform
 from citronjunction.verdicts import models as verdicts
 
 FINGERPRINT = 7
--- a/tests/support/system.py
+++ b/tests/support/system.py
@@ -6,7 +6,7 @@
 from citronjunction.control import node as control_node
 from citronjunction.entry import node as entry_node
 from citronjunction.organisations import models as organisations
-from citronjunction.platform import models as platform
+from citronjunction.store import models as platform
 from citronjunction.releases import applying, notes
 from citronjunction.standins import batch, cloud, engine, object_api, service
 from citronjunction.transport import front, http_client
@@ -159,7 +159,7 @@
             headers,
             body if isinstance(body, bytes) else json.dumps(body).encode(),
             silence_s=600,
-            reuses_connection=False,
+            max_idle_s=http_client.NO_REUSE_S,
         )
         sent = SentCall(self.world, call)
         sent.exchange = self.caller_host.client.send(call, sent)
@@ -194,9 +194,9 @@
         self.is_whole = False
         self.failure = None
 
-    def on_head(self, status, headers):
-        self.status = status
-        self.headers = headers
+    def on_head(self, head):
+        self.status = head.status
+        self.headers = head.headers
 
     def on_data(self, chunk):
         if self.first_at is None:
