Take configuration and workers from peers while the store is away

A process that starts, or that the store turns away, asks a peer for its copy and takes it if its revision is higher. Tests run gateways on stand-ins of the published protocol in virtual time.

--- a/citronjunction/commands/gateway.py
+++ b/citronjunction/commands/gateway.py
@@ -8,7 +8,7 @@
 from citronjunction.commands import common
 from citronjunction.conf import loader
 from citronjunction.conf import models as conf
-from citronjunction.gateway import node
+from citronjunction.gateway import node, scraping
 from citronjunction.observability import output
 from citronjunction.platform import cloud, codec, decoder, directory
 from citronjunction.platform import object_store
@@ -41,6 +41,7 @@
             ),
         ),
         (listeners.readiness, directory.Readiness(built.is_ready)),
+        (listeners.metrics, scraping.Scraping(built.acting.counts)),
     ):
         served = front.Front(
             loop.sockets,
--- /dev/null
+++ b/citronjunction/gateway/copying.py
@@ -0,0 +1,92 @@
+"""Copies of stored objects from peers, while the store is out of reach."""
+
+from citronjunction.gateway import services, watching
+from citronjunction.membership import messages
+from citronjunction.peering import node
+from citronjunction.store import records
+from citronjunction.transport import links
+
+ASK_S = 0.3  # interval; a restarted entry is ready within two of them
+
+
+class Copying:
+    """Ask peers for newer copies, and give them this entry's."""
+
+    def __init__(
+        self,
+        acting: services.Services,
+        watcher: watching.Watcher,
+        peers: node.PeerNode,
+    ) -> None:
+        """Take the mirrors and the peers."""
+        self.acting = acting
+        self.watcher = watcher
+        self.peers = peers
+
+    def start(self) -> None:
+        """Start to ask, at first once the store had time to answer."""
+        delay_s = self.acting.settings.gateway.seed_s
+        timers = self.acting.timers
+        timers.call_later(
+            delay_s,
+            lambda: timers.call_every(ASK_S, self.ask),
+        )
+
+    def ask(self) -> None:
+        """Ask one peer for each kind that may be behind."""
+        for kind, held in self.watcher.mirrors.items():
+            if held.needs_copy:
+                self.ask_for(kind)
+
+    def ask_for(self, kind: str) -> None:
+        """Ask one peer for its copy of a kind."""
+        ready = list(self.peers.ready.values())
+        if ready:
+            as_of = self.watcher.mirrors[kind].as_of
+            link = self.acting.random.choice(ready)
+            link.send(messages.CopyWanted(kind, as_of))
+
+    def take(self, link: links.Link, message: messages.Message) -> None:
+        """Answer a peer or take its copy."""
+        match message:
+            case messages.CopyWanted(object_kind=kind, as_of=as_of):
+                self._give(link, kind, as_of)
+            case messages.Copy(object_kind=kind):
+                self._take_copy(link, message)
+
+    def _give(self, link: links.Link, kind: str, as_of: int) -> None:
+        held = self.watcher.mirrors.get(kind)
+        if held is None or not held.is_synced or held.as_of <= as_of:
+            return
+        link.send(
+            messages.Copy(
+                kind,
+                held.as_of,
+                tuple(
+                    (
+                        record.name,
+                        record.revision,
+                        dict(record.spec),
+                        dict(record.status),
+                    )
+                    for record in held.held.values()
+                    if isinstance(record.spec, dict)
+                ),
+            ),
+        )
+
+    def _take_copy(self, link: links.Link, copy: messages.Copy) -> None:
+        held = self.watcher.mirrors.get(copy.object_kind)
+        if held is None or copy.as_of <= held.as_of:
+            return
+        self.acting.log.write(
+            'copy',
+            copy.object_kind,
+            peer=link.name,
+            as_of=copy.as_of,
+            before=held.as_of,
+        )
+        held.take_copy(
+            [records.Record(*held_object) for held_object in copy.objects],
+            copy.as_of,
+        )
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -4,6 +4,7 @@
 from citronjunction.gateway import (
     attempt,
     choosing,
+    counting,
     evidence,
     models,
     outlet,
@@ -385,6 +386,10 @@
         self.acting.flows.discard(self)
         self.outlet.exchange.on_gone = None
         now = self.acting.timers.now()
+        held_s = now - self.request.arrived_at
+        self.acting.counts.record(
+            counting.Ended(outcome, self.route.kind.value, held_s),
+        )
         self.acting.log.write(
             'end',
             self.request.name,
@@ -396,11 +401,12 @@
             workers=[worker.entry.name for worker in self.tried],
             sends=self.run.sends,
             is_started=self.outlet.is_started,
-            held_ms=round((now - self.request.arrived_at) * 1000),
+            held_ms=round(held_s * 1000),
             configuration=self.acting.configuration.version,
         )
 
     def _log_retry(self, failed: evidence.Failed) -> None:
+        self.acting.counts.record(counting.Retried(failed.evidence.value))
         self.acting.log.write(
             'retry',
             self.request.name,
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -15,6 +15,8 @@
 from citronjunction.gateway import (
     application,
     choosing,
+    copying,
+    counting,
     fleet,
     ports,
     quotas,
@@ -76,6 +78,7 @@
             rollouts.Rollouts(loop.random),
             suspects.Suspects(settings.attempts),
             self.log,
+            counting.Counts(self.name),
             self._on_begun,
             self._on_suspect,
         )
@@ -86,6 +89,7 @@
             adapter.decoder,
             self._on_configuration,
         )
+        self.copying = copying.Copying(self.acting, self.watcher, self.peers)
         self.sharing = sharing.Sharing(
             self.acting,
             self.peers,
@@ -135,10 +139,12 @@
         self.peers.start()
         self.watcher.start()
         self.sharing.start()
+        self.copying.start()
         timers = self.loop.timers
         timers.call_every(self.settings.membership.heartbeat_s, self._beat)
         timers.call_every(self.settings.duties.tick_s, self._do_duties)
         timers.call_every(EXPIRE_S, self.sharing.expire)
+        timers.call_later(counting.LOAD_DELAY_S, self.acting.counts.load)
         self.loop.on_stop = self.stopper.stop
         self.log.write('start', self.name, zone=self.settings.process.zone)
 
@@ -198,7 +204,8 @@
                 )
 
     def on_request(self, link: links.Link, message: messages.Message) -> None:
-        """Ignore messages that gateways do not use."""
+        """Take a message about stored objects."""
+        self.copying.take(link, message)
 
     def _take_entry(self, fact: facts.EntryState) -> None:
         if fact.name == self.name:
@@ -207,7 +214,9 @@
             self.log.write('clock corrected', self.name)
         configuration = self.acting.configuration
         if configuration and fact.revision > configuration.version:
-            self.watcher.refresh(self.watcher.decoder.configuration_kind)
+            kind = self.watcher.decoder.configuration_kind
+            self.watcher.refresh(kind)
+            self.copying.ask_for(kind)
 
     def _on_configuration(self) -> None:
         limits = self.acting.configuration.limits
--- a/citronjunction/gateway/services.py
+++ b/citronjunction/gateway/services.py
@@ -9,6 +9,7 @@
 from citronjunction.gateway import (
     budgets,
     choosing,
+    counting,
     fleet,
     matching,
     models,
@@ -35,6 +36,7 @@
     rollouts: rollouts.Rollouts
     suspects: suspects.Suspects
     log: decisions.DecisionLog
+    counts: counting.Counts
     on_begun: abc.Callable[[str], None]
     on_suspect: abc.Callable[[int, str], None]
     configuration: models.Configuration | None = None
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -83,8 +83,7 @@
     def refresh(self, kind: str) -> None:
         """List a kind again, since a peer knows something newer."""
         held = self.mirrors[kind]
-        if held.is_synced:
-            held.is_synced = False
+        if held.is_synced and held.is_reachable:
             held.start()
 
     def on_record(self, kind: str, record: records.Record) -> None:
--- a/citronjunction/membership/messages.py
+++ b/citronjunction/membership/messages.py
@@ -98,7 +98,42 @@
     kind: Literal['handover_taken'] = 'handover_taken'
 
 
-Message = Union[Hello, Proof, Facts, Digest, Want, Handover, HandoverTaken]
+@dataclasses.dataclass(slots=True, frozen=True)
+class CopyWanted:
+    """Ask for the peer's copy of stored objects newer than a revision."""
+
+    object_kind: facts.Text
+    as_of: int
+    kind: Literal['copy_wanted'] = 'copy_wanted'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Copy:
+    """Carry all stored objects of a kind as of a revision.
+
+    Each object is its name, revision, spec and status.
+    """
+
+    object_kind: facts.Text
+    as_of: int
+    objects: tuple[
+        tuple[str, int, dict[str, object], dict[str, object]],
+        ...,
+    ]
+    kind: Literal['copy'] = 'copy'
+
+
+Message = Union[
+    Hello,
+    Proof,
+    Facts,
+    Digest,
+    Want,
+    Handover,
+    HandoverTaken,
+    CopyWanted,
+    Copy,
+]
 ADAPTER = pydantic.TypeAdapter(
     Annotated[Message, pydantic.Field(discriminator='kind')],
 )
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -6,6 +6,7 @@
 from opentelemetry.sdk import resources
 
 FIRST_TOKEN_BOUNDS_S = (0.05, 0.1, 0.2, 0.38, 0.8, 1.6, 5, 20)
+HELD_BOUNDS_S = (0.05, 0.1, 0.2, 0.5, 1, 2, 5, 15)
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
 
@@ -46,6 +47,17 @@
             explicit_bucket_boundaries_advisory=FIRST_TOKEN_BOUNDS_S,
         )
 
+        self.held = meter.create_histogram(
+            'citron_request_duration',
+            unit='s',
+            description='time from the first byte of a request to its end',
+            explicit_bucket_boundaries_advisory=HELD_BOUNDS_S,
+        )
+        self.retries = meter.create_counter(
+            'citron_retries',
+            description='requests sent to another worker, by evidence',
+        )
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return prometheus_client.generate_latest()
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -1,6 +1,7 @@
 """Local copy of the objects of one kind, kept by list and watch."""
 
 import random
+from collections import abc
 from typing import Protocol
 
 from citronjunction.store import records
@@ -59,9 +60,24 @@
         self.listed.clear()
         self._list('')
 
-    def offer(self, record: records.Record) -> None:
-        """Take an object that a peer holds, if it is newer."""
-        self._take(record)
+    @property
+    def needs_copy(self) -> bool:
+        """Tell whether a peer's copy may be newer than this one."""
+        return not (self.is_synced and self.is_reachable)
+
+    def take_copy(
+        self,
+        held: abc.Iterable[records.Record],
+        as_of: int,
+    ) -> None:
+        """Take a peer's whole copy, if it is newer."""
+        if as_of <= self.as_of:
+            return
+        names = set()
+        for record in held:
+            names.add(record.name)
+            self._take(record)
+        self._finish_list(names, as_of)
 
     def _list(self, after: str) -> None:
         turn = self.turn
@@ -88,12 +104,19 @@
         if page.after:
             self._list(page.after)
             return
-        self.as_of = page.as_of
-        for name in set(self.held) - self.listed:
+        if page.as_of < self.as_of:
+            # An answer older than a peer's copy must not take it back.
+            self._watch()
+            return
+        self._finish_list(self.listed, page.as_of)
+        self._watch()
+
+    def _finish_list(self, names: set[str], as_of: int) -> None:
+        self.as_of = max(self.as_of, as_of)
+        for name in set(self.held) - names:
             self._remove(name)
         self.is_synced = True
         self.listener.on_synced(self.kind)
-        self._watch()
 
     def _watch(self) -> None:
         turn = self.turn
--- a/citronjunction/transport/front.py
+++ b/citronjunction/transport/front.py
@@ -7,7 +7,6 @@
 
 import h11
 from absl import logging
-from circuits.web import wrappers
 
 from citronjunction.conf import models
 from citronjunction.transport import deadlines, sockets
@@ -43,6 +42,15 @@
         return b'Unknown'
 
 
+def encode_headers(
+    headers: abc.Mapping[str, str],
+) -> abc.Iterator[tuple[bytes, bytes]]:
+    """Encode headers; line breaks in them become spaces."""
+    for name, text in headers.items():
+        line = text.replace('\r', ' ').replace('\n', ' ')
+        yield name.encode('latin-1'), line.encode('latin-1', 'replace')
+
+
 class Application(Protocol):
     """Answer requests."""
 
@@ -90,16 +98,14 @@
         """Send a whole response."""
         if self.is_done:
             return
-        response = self._build_response(status, headers)
-        response.headers['Content-Length'] = str(len(body))
-        self._send_response(response, body)
+        self._send_head(status, encode_headers(headers), len(body))
+        if self.request.method != 'HEAD':
+            self.connection.send(body)
         self._end()
 
     def start_stream(self, status: int, headers: abc.Mapping[str, str]) -> None:
         """Send the head of a chunked response."""
-        response = self._build_response(status, headers)
-        response.headers['Transfer-Encoding'] = 'chunked'
-        self._send_response(response, b'')
+        self.start(status, encode_headers(headers), None)
 
     def start(
         self,
@@ -110,16 +116,7 @@
         """Send the head of a relayed response; no length means chunked."""
         self.is_started = True
         self.is_chunked = length is None
-        lines = [b'HTTP/1.1 %d %b' % (status, get_reason(status))]
-        lines.extend(b'%b: %b' % field for field in fields)
-        if length is None:
-            lines.append(b'Transfer-Encoding: chunked')
-        else:
-            lines.append(b'Content-Length: %d' % length)
-        if self.connection.is_closing:
-            lines.append(b'Connection: close')
-        lines.append(b'\r\n')
-        self.connection.send(b'\r\n'.join(lines))
+        self._send_head(status, fields, length)
 
     def push(self, chunk: bytes) -> None:
         """Send a part of the body of a started response."""
@@ -149,23 +146,22 @@
             if self.on_gone is not None:
                 self.on_gone()
 
-    def _build_response(
+    def _send_head(
         self,
         status: int,
-        headers: abc.Mapping[str, str],
-    ) -> wrappers.Response:
-        request = wrappers.Request(None, server=self.front)
-        response = wrappers.Response(request, status=status)
-        for name, text in headers.items():
-            response.headers[name] = text.replace('\r', ' ').replace('\n', ' ')
+        fields: abc.Iterable[tuple[bytes, bytes]],
+        length: int | None,
+    ) -> None:
+        lines = [b'HTTP/1.1 %d %b' % (status, get_reason(status))]
+        lines.extend(b'%b: %b' % field for field in fields)
+        if length is None:
+            lines.append(b'Transfer-Encoding: chunked')
+        else:
+            lines.append(b'Content-Length: %d' % length)
         if self.connection.is_closing:
-            response.headers['Connection'] = 'close'
-        return response
-
-    def _send_response(self, response: wrappers.Response, body: bytes) -> None:
-        is_head = self.request.method == 'HEAD'
-        head = bytes(response) + bytes(response.headers)
-        self.connection.send(head if is_head else head + body)
+            lines.append(b'Connection: close')
+        lines.append(b'\r\n')
+        self.connection.send(b'\r\n'.join(lines))
 
     def _end(self) -> None:
         self.is_done = True
@@ -353,10 +349,6 @@
 class Front:
     """Serve HTTP on one address."""
 
-    display_banner = False
-    host = ''
-    secure = False
-
     def __init__(
         self,
         owner: sockets.Sockets,
@@ -376,7 +368,6 @@
 
     def listen(self, address: str, port: int) -> int:
         """Start to listen; return the port."""
-        self.host = address
         self.port = self.sockets.listen(address, port, self.accept)
         return self.port
 
--- /dev/null
+++ b/tests/gateway/test_watching.py
@@ -0,0 +1,141 @@
+"""Beliefs of a gateway: configuration, workers, an absent store."""
+
+import pytest
+
+from tests.support import platform_system
+
+
+@pytest.fixture
+def deployed():
+    return platform_system.PlatformSystem().build()
+
+
+def test_a_draining_worker_gets_no_new_request(deployed):
+    deployed.set_state('app-0', 'draining')
+    deployed.world.run(0.1)
+
+    for _ in range(6):
+        assert deployed.ask('/safe/x', run_s=0.3).status == 200
+    assert not deployed.workers['app-0'].runs
+
+
+def test_a_worker_whose_entry_vanished_is_left_within_two_seconds(deployed):
+    deployed.store.remove('servers', 'app-0')
+    deployed.world.run(1.5)
+
+    for _ in range(6):
+        assert deployed.ask('/safe/x', run_s=0.3).status == 200
+    assert not deployed.workers['app-0'].runs
+
+
+def test_entries_that_return_after_an_outage_are_used_again(deployed):
+    gateway = deployed.gateways['gateway-0']
+    deployed.store.is_down = True
+    deployed.world.run(8)
+    names = ('app-0', 'app-1')
+    specs = {
+        name: deployed.store.objects[('servers', name)]['spec']
+        for name in names
+    }
+    for name in names:
+        deployed.store.remove('servers', name)
+    deployed.store.is_down = False
+    deployed.world.run(1.2)
+    assert deployed.ask('/safe/x', run_s=0.3).status == 200
+    for name, spec in specs.items():
+        deployed.store.put('servers', name, spec)
+    deployed.world.run(4)
+
+    assert not gateway.acting.fleet.workers['app-0'].is_absent
+    assert deployed.ask('/safe/x', run_s=0.3).status == 200
+
+
+def test_a_new_configuration_is_in_force_at_once(deployed):
+    routes = [
+        platform_system.route('new', '/new/', 'safe', 'app'),
+    ]
+    deployed.configure(routes=routes)
+    deployed.world.run(0.1)
+
+    assert deployed.ask('/new/x', run_s=0.3).status == 200
+    assert deployed.ask('/safe/x', run_s=0.3).status == 404
+
+
+def test_an_older_configuration_does_not_return(deployed):
+    deployed.configure(routes=[])
+    deployed.world.run(0.1)
+    old = {**deployed.configuration, 'version': 1}
+    deployed.store.put('config', 'main', old)
+    deployed.world.run(0.1)
+
+    assert deployed.gateways['gateway-0'].acting.configuration.version == 2
+
+
+def test_a_forgotten_history_is_listed_again(deployed):
+    deployed.store.is_down = True
+    deployed.world.run(7)
+    deployed.configure(routes=[])
+    deployed.store.compact()
+    deployed.store.is_down = False
+    deployed.world.run(3)
+
+    assert deployed.gateways['gateway-0'].acting.configuration.version == 2
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        {},
+        {'service': 'app'},
+        {'service': 3, 'addr': '10.8.0.1:1', 'zone': 'z', 'state': 'ready'},
+        {'service': 'app', 'addr': 'x', 'zone': 'z', 'state': 'ready'},
+        {'service': 'app', 'addr': '10.8.0.1:1', 'zone': 'z', 'state': 'odd'},
+        'bytes',
+        None,
+    ],
+)
+def test_an_entry_of_another_writer_names_no_worker(deployed, spec):
+    deployed.store.put('servers', 'odd', spec)
+    deployed.world.run(0.1)
+
+    assert 'odd' not in deployed.gateways['gateway-0'].acting.fleet.workers
+    assert deployed.ask('/safe/x', run_s=0.3).status == 200
+
+
+def test_a_worker_that_starts_again_under_its_name_is_a_new_worker(deployed):
+    fleet = deployed.gateways['gateway-0'].acting.fleet
+    before = fleet.workers['app-0']
+    deployed.set_state('app-0', 'ready', born=2000)
+    deployed.world.run(0.1)
+    after = fleet.workers['app-0']
+    deployed.set_state('app-0', 'draining', born=1000)
+    deployed.world.run(0.1)
+
+    assert after is not before
+    assert before.is_draining
+    assert not fleet.workers['app-0'].is_draining
+
+
+def test_a_restarted_gateway_learns_from_peers_while_the_store_is_away():
+    deployed = platform_system.PlatformSystem().build(gateways=2)
+    deployed.store.is_down = True
+    deployed.gateway_hosts['gateway-1'].kill()
+    deployed.world.run(1)
+    deployed.add_gateway('gateway-2')
+    deployed.world.run(3)
+
+    assert deployed.gateways['gateway-2'].is_ready()
+    answer = deployed.ask('/safe/x', gateway='gateway-2', run_s=0.3)
+    assert answer.status == 200
+
+
+def test_a_gateway_that_the_store_turns_away_learns_from_peers():
+    deployed = platform_system.PlatformSystem().build(gateways=2)
+    deployed.world.cut(['platform'], ['gateway-1'])
+    deployed.configure(routes=[])
+    deployed.set_state('app-0', 'draining')
+    deployed.world.run(8)
+
+    acting = deployed.gateways['gateway-1'].acting
+    assert acting.configuration.version == 2
+    assert acting.fleet.workers['app-0'].is_draining
--- /dev/null
+++ b/tests/support/platform_store.py
@@ -0,0 +1,181 @@
+"""Stand-in of the platform's store and cloud API, by its published protocol."""
+
+import json
+from urllib import parse
+
+JSON = {'Content-Type': 'application/json'}
+PREFIX = '/api/objects/'
+
+
+class PlatformStore:
+    """Hold objects by kind and name, with a history for watches."""
+
+    def __init__(self, host):
+        self.host = host
+        self.objects = {}
+        self.history = []
+        self.revision = 1
+        self.oldest = 0
+        self.watches = []
+        self.is_down = False
+        self.lost_answers = 0
+        self.writes = []
+        self.calls = 0
+
+    def put(self, kind, name, spec, status=None):
+        """Write as the operator or a worker does."""
+        self.revision += 1
+        held = self.objects.get((kind, name), {'meta': {}, 'status': {}})
+        meta = {'name': name, 'rev': self.revision}
+        stored = {
+            'meta': meta,
+            'spec': spec,
+            'status': held['status'] if status is None else status,
+        }
+        self.objects[(kind, name)] = stored
+        self._record(kind, stored, False)
+        return stored
+
+    def remove(self, kind, name):
+        held = self.objects.pop((kind, name), None)
+        if held is not None:
+            self.revision += 1
+            self._record(kind, held, True)
+
+    def compact(self):
+        """Forget the history."""
+        self.oldest = self.revision
+        self.history.clear()
+
+    def handle(self, exchange):
+        self.calls += 1
+        if self.is_down:
+            return
+        request = exchange.request
+        kind, _, rest = request.path.removeprefix(PREFIX).partition('/')
+        name = parse.unquote(rest.removesuffix('/status'))
+        query = dict(parse.parse_qsl(request.query))
+        if request.method == 'GET' and 'watch' in query:
+            self._watch(exchange, kind, query)
+        elif request.method == 'GET':
+            self._read(exchange, kind, name)
+        else:
+            self._write(exchange, kind, name)
+
+    def reject(self, exchange, status, reason):
+        self._respond(exchange, status, {'error': reason})
+
+    def _respond(self, exchange, status, document):
+        exchange.respond(status, JSON, json.dumps(document).encode())
+
+    def _read(self, exchange, kind, name):
+        if name:
+            held = self.objects.get((kind, name))
+            self._respond(exchange, 200 if held else 404, held or {})
+            return
+        entries = [
+            held for (found, _), held in self.objects.items() if found == kind
+        ]
+        document = {
+            'entries': entries,
+            'hasMore': False,
+            'asOf': self.revision,
+        }
+        self._respond(exchange, 200, document)
+
+    def _write(self, exchange, kind, name):
+        document = json.loads(exchange.request.body)
+        meta = document.get('meta', {})
+        name = name or meta['name']
+        held = self.objects.get((kind, name))
+        self.writes.append((kind, name, document))
+        if exchange.request.method == 'POST':
+            conflicts = held is not None
+        else:
+            expected = meta.get('rev')
+            conflicts = held is None or expected not in {
+                None,
+                held['meta']['rev'],
+            }
+        if conflicts:
+            self._respond(exchange, 409, held or {})
+            return
+        if exchange.request.path.endswith('/status'):
+            stored = self.put(kind, name, held['spec'], document['status'])
+        else:
+            stored = self.put(kind, name, document['spec'])
+        if self.lost_answers:
+            self.lost_answers -= 1
+            exchange.abort()
+            return
+        self._respond(exchange, 200, stored)
+
+    def _watch(self, exchange, kind, query):
+        since = int(query['watch'])
+        if since < self.oldest:
+            self._respond(exchange, 410, {})
+            return
+        if self._answer_watch(exchange, kind, since):
+            return
+        held = (exchange, kind, since)
+        self.watches.append(held)
+        wait_s = int(query['waitMs']) / 1000
+        self.host.timers.call_later(wait_s, lambda: self._end_watch(held))
+
+    def _end_watch(self, held):
+        if held in self.watches:
+            self.watches.remove(held)
+            if not self.is_down:
+                document = {'events': [], 'asOf': self.revision}
+                self._respond(held[0], 200, document)
+
+    def _answer_watch(self, exchange, kind, since):
+        events = [
+            {'object': held, 'tombstone': gone}
+            for revision, found, held, gone in self.history
+            if found == kind and revision > since
+        ]
+        if events:
+            document = {'events': events, 'asOf': self.revision}
+            self._respond(exchange, 200, document)
+        return bool(events)
+
+    def _record(self, kind, held, gone):
+        self.history.append((self.revision, kind, held, gone))
+        if self.is_down:
+            return
+        for watch in tuple(self.watches):
+            if self._answer_watch(*watch):
+                self.watches.remove(watch)
+
+
+class PlatformCloud:
+    """Record usage reports and orders; orders may be refused."""
+
+    def __init__(self):
+        self.usage = []
+        self.orders = []
+        self.is_down = False
+        self.is_dry = False
+
+    def handle(self, exchange):
+        request = exchange.request
+        if self.is_down:
+            exchange.respond(503, JSON, b'{}')
+            return
+        document = json.loads(request.body)
+        sender = (
+            request.headers['holder'],
+            int(request.headers['fencing-token']),
+        )
+        if request.path == '/usage':
+            self.usage.append((sender, document))
+        else:
+            self.orders.append((sender, document))
+            if self.is_dry and document.get('spot'):
+                exchange.respond(409, JSON, b'{}')
+                return
+        exchange.respond(200, JSON, b'{}')
+
+    def reject(self, exchange, status, reason):
+        exchange.respond(status, JSON, b'{}')
--- /dev/null
+++ b/tests/support/platform_system.py
@@ -0,0 +1,228 @@
+"""A deployment on stand-ins of the platform, in virtual time."""
+
+import itertools
+
+from citronjunction.commands import gateway as command
+from citronjunction.conf import models as conf
+from citronjunction.transport import front, http_client
+from tests.support import platform_store, platform_worker, virtual
+
+PLATFORM = '10.9.0.1'
+STORE_PORT = 8000
+CLOUD_PORT = 8001
+HOST = 'x.example'
+KEY = 'key-{}'
+
+LIMITS = {
+    'maxHeaderBytes': 16384,
+    'maxBodyBytes': 1 << 20,
+    'headerTimeoutMs': 3000,
+    'idleTimeoutMs': 15000,
+}
+
+
+def route(name, prefix, kind, service, **options):
+    return {
+        'name': name,
+        'host': HOST,
+        'pathPrefix': prefix,
+        'type': kind,
+        'service': service,
+        'timeoutMs': 2000,
+        'targetLatencyMs': 200,
+        'attempts': 2,
+        'priority': 1,
+        'public': False,
+        **options,
+    }
+
+
+class Answer:
+    """Collect what a caller gets."""
+
+    def __init__(self, world):
+        self.world = world
+        self.status = 0
+        self.headers = {}
+        self.body = b''
+        self.is_whole = False
+        self.failure = None
+        self.started_at = world.now
+        self.ended_at = None
+
+    def on_head(self, head):
+        self.status = head.status
+        self.headers = head.headers
+
+    def on_data(self, chunk):
+        self.body += chunk
+
+    def on_end(self):
+        self.is_whole = True
+        self.ended_at = self.world.now
+
+    def on_failure(self, failure):
+        self.failure = failure
+        self.ended_at = self.world.now
+
+    @property
+    def took_s(self):
+        return self.ended_at - self.started_at
+
+
+class PlatformSystem:
+    """Store, cloud, workers, gateways and a caller."""
+
+    def __init__(self, seed=0):
+        self.world = virtual.World(seed)
+        self.ids = itertools.count(1)
+        self.workers = {}
+        self.worker_hosts = {}
+        self.gateways = {}
+        self.gateway_hosts = {}
+        self.platform_host = self.world.add_host('platform')
+        self.store = platform_store.PlatformStore(self.platform_host)
+        self.cloud = platform_store.PlatformCloud()
+        self._serve(self.platform_host, self.store, STORE_PORT)
+        self._serve(self.platform_host, self.cloud, CLOUD_PORT)
+        self.caller_host = self.world.add_host('caller')
+        self.configuration = {
+            'version': 1,
+            'routes': [
+                route('safe', '/safe/', 'safe', 'app'),
+                route('unsafe', '/unsafe/', 'unsafe', 'app', attempts=2),
+                route('stream', '/stream/', 'stream', 'llm'),
+                route('resume', '/stream/r/', 'stream', 'llm', resumable=True),
+            ],
+            'services': [
+                {'name': 'app', 'healthPath': '/healthz', 'maxConns': 100},
+                {'name': 'llm', 'healthPath': '/healthz', 'maxConns': 100},
+            ],
+            'limits': LIMITS,
+            'tenants': [
+                {'name': 'org', 'apiKeys': [KEY.format('org')]},
+                {'name': 'other', 'apiKeys': [KEY.format('other')]},
+            ],
+        }
+
+    def configure(self, **changes):
+        """Write the next version of the configuration."""
+        self.configuration = {**self.configuration, **changes}
+        self.configuration['version'] += 1
+        self.store.put('config', 'main', self.configuration)
+
+    def add_worker(self, name, service, zone='z1', version='v1', **fields):
+        number = len(self.world.hosts)
+        host = self.world.add_host(name)
+        held = platform_worker.PlatformWorker(host, name)
+        address = f'10.8.0.{number}'
+        served = front.Front(host.sockets, host.timers, conf.Http(), held)
+        served.listen(address, 8080)
+        self.workers[name] = held
+        self.worker_hosts[name] = host
+        spec = {
+            'service': service,
+            'addr': f'{address}:8080',
+            'zone': zone,
+            'version': version,
+            'slots': 6,
+            'state': 'ready',
+            'coldLeftMs': 0,
+            'seq': 1,
+            'born': 1000,
+            **fields,
+        }
+        self.store.put('servers', name, spec)
+        return held
+
+    def set_state(self, name, state, **fields):
+        spec = self.store.objects[('servers', name)]['spec']
+        self.store.put('servers', name, {**spec, 'state': state, **fields})
+
+    def add_gateway(self, name, zone='z1'):
+        number = len(self.world.hosts)
+        address = f'10.1.0.{number}'
+        settings = conf.Settings()
+        settings.process.name = name
+        settings.process.zone = zone
+        settings.process.address = address
+        listeners = settings.listeners
+        listeners.front = f'{address}:8080'
+        listeners.control = f'{address}:8081'
+        listeners.readiness = f'{address}:8082'
+        listeners.directory = f'{address}:8083'
+        listeners.metrics = f'{address}:8084'
+        settings.platform.object_api = f'{PLATFORM}:{STORE_PORT}'
+        settings.platform.cloud_api = f'{PLATFORM}:{CLOUD_PORT}'
+        settings.membership.secret = 'a-secret-for-tests-only'
+        settings.membership.heartbeat_s = 0.5
+        settings.membership.lost_after_s = 2.5
+        settings.membership.seeds = ','.join(
+            held.settings.listeners.control for held in self.gateways.values()
+        )
+        settings.attempts.suspect_crashes = 3
+        host = self.world.add_host(name)
+        built = command.build_node(host, settings, '')
+        built.start()
+        self.gateways[name] = built
+        self.gateway_hosts[name] = host
+        return built
+
+    def build(self, workers=2, gateways=1):
+        """Start a deployment and let it settle."""
+        self.store.put('config', 'main', self.configuration)
+        for number in range(workers):
+            self.add_worker(f'app-{number}', 'app')
+            self.add_worker(f'llm-{number}', 'llm')
+        for number in range(gateways):
+            self.add_gateway(f'gateway-{number}')
+        self.world.run(3)
+        return self
+
+    def send(
+        self,
+        path,
+        gateway='gateway-0',
+        method='GET',
+        organisation='org',
+        body=b'',
+        deadline_ms=1500,
+        **headers,
+    ):
+        """Send a caller's request; return what collects the answer."""
+        answer = Answer(self.world)
+        named = {key.replace('_', '-'): text for key, text in headers.items()}
+        call = http_client.Call(
+            self.gateways[gateway].settings.listeners.front,
+            method,
+            path,
+            {
+                'Attempt-Id': f'request-{next(self.ids)}',
+                'Deadline-Ms': str(deadline_ms),
+                'Authorization': f'Bearer {KEY.format(organisation)}',
+                **named,
+            },
+            body,
+            max_idle_s=http_client.NO_REUSE_S,
+            host=HOST,
+        )
+        answer.call = self.caller_host.client.send(call, answer)
+        return answer
+
+    def ask(self, path, run_s=3.0, **options):
+        """Send a request and let it finish."""
+        answer = self.send(path, **options)
+        self.world.run(run_s)
+        return answer
+
+    def count_runs(self, request_id=None):
+        """Return how often requests ran, on all workers."""
+        return sum(
+            request_id in {None, run.headers['attempt-id']}
+            for held in self.workers.values()
+            for run in held.runs
+        )
+
+    def _serve(self, host, app, port):
+        served = front.Front(host.sockets, host.timers, conf.Http(), app)
+        served.listen(PLATFORM, port)
--- /dev/null
+++ b/tests/support/platform_worker.py
@@ -0,0 +1,108 @@
+"""Stand-in of a worker of the platform: plain answers and event streams."""
+
+import dataclasses
+
+SIGNATURE = 'sig.{}'
+
+
+@dataclasses.dataclass
+class Behaviour:
+    """Set how a worker answers; counts are of requests still to come."""
+
+    service_s: float = 0.02
+    events: int = 3
+    gap_s: float = 0.01
+    status: int = 200
+    refuses: int = 0
+    fails: int = 0
+    loses: int = 0
+    breaks_after: int | None = None
+    is_mute: bool = False
+    is_unsigned: bool = False
+    extra_answers: int = 0
+
+
+class PlatformWorker:
+    """Run requests and keep what it was sent."""
+
+    def __init__(self, host, name):
+        self.host = host
+        self.name = name
+        self.behaviour = Behaviour()
+        self.arrivals = []
+        self.runs = []
+        self.cancelled = []
+
+    def handle(self, exchange):
+        request = exchange.request
+        self.arrivals.append(request)
+        expected = request.headers.get('expect-instance', self.name)
+        if expected != self.name:
+            self._respond(exchange, 421, {'Instance': self.name}, b'')
+            return
+        behaviour = self.behaviour
+        if behaviour.refuses:
+            behaviour.refuses -= 1
+            self._respond(exchange, 503, {'Not-Executed': '1'}, b'')
+            return
+        self.runs.append(request)
+        exchange.on_gone = lambda: self.cancelled.append(request)
+        if behaviour.is_mute:
+            return
+        self.host.timers.call_later(
+            behaviour.service_s, lambda: self._finish(exchange)
+        )
+
+    def reject(self, exchange, status, reason):
+        exchange.respond(status, {}, reason.encode())
+
+    def _finish(self, exchange):
+        if exchange.is_done:
+            return
+        behaviour = self.behaviour
+        if behaviour.loses:
+            behaviour.loses -= 1
+            exchange.abort()
+        elif behaviour.fails:
+            behaviour.fails -= 1
+            self._respond(exchange, 500, self._sign(exchange), b'failed')
+        elif exchange.request.path.startswith('/stream'):
+            self._stream(exchange)
+        else:
+            body = f'{self.name} {exchange.request.path}'.encode()
+            headers = self._sign(exchange)
+            self._respond(exchange, behaviour.status, headers, body)
+
+    def _sign(self, exchange):
+        request_id = exchange.request.headers.get('attempt-id', '')
+        headers = {'Attempt-Id': request_id, 'Load': '1,0,6'}
+        if not self.behaviour.is_unsigned:
+            headers['Signature'] = SIGNATURE.format(self.name)
+        return headers
+
+    def _respond(self, exchange, status, headers, body):
+        exchange.respond(status, headers, body)
+
+    def _stream(self, exchange):
+        headers = self._sign(exchange)
+        headers['Content-Type'] = 'text/event-stream'
+        last = exchange.request.headers.get('last-event-id', '')
+        exchange.start_stream(200, headers)
+        self._push(exchange, int(last) + 1 if last else 1)
+
+    def _push(self, exchange, number):
+        behaviour = self.behaviour
+        if exchange.is_done:
+            return
+        if behaviour.breaks_after is not None:
+            if number > behaviour.breaks_after:
+                exchange.push(b'id: %d\nda' % number)
+                exchange.abort()
+                return
+        if number > behaviour.events:
+            exchange.finish()
+            return
+        exchange.push(b'id: %d\ndata: t%d\n\n' % (number, number))
+        self.host.timers.call_later(
+            behaviour.gap_s, lambda: self._push(exchange, number + 1)
+        )
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -92,6 +92,9 @@
     def now(self):
         return self.world.now
 
+    def boot(self):
+        return self.world.now
+
     def wall(self):
         return self.world.now + EPOCH
 
@@ -204,6 +207,9 @@
         self.client = http_client.HttpClient(self.sockets, self.timers)
         self.on_stop = self.leave
 
+    def watch_reload(self, on_reload):
+        self.on_reload = on_reload
+
     def leave(self):
         self.kill()
 
