Keep workers until demand is seen; let on-demand ones stand in for dry ones

Change: the need assumed at the start holds for 12 s of demand; on-demand workers fill up to the data centre's maximum less the reclaimable ones.

--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -14,7 +14,8 @@
 
 TOKENS_PER_WORKER = 14000.0  # prompt tokens a second at a comfortable load
 MIN_TOKENS_PER_WORKER = 26000.0  # beyond this first tokens come late
-START_FACTOR = 2.0  # reclaimable workers for each worker found at the start
+OBSERVED_S = 12.0  # demand seen for as long replaces the assumption at start
+START_FACTOR = 2.0  # workers for each on-demand worker found at the start
 PEAK_DECAY_S = 25.0  # time in which a past peak of demand is forgotten
 UNOBTAINABLE_S = 1.5  # pause before reclaimable workers are ordered again
 REPEAT_S = 6.0  # an order whose workers have not come is sent again
@@ -51,7 +52,15 @@
 class Scaler:
     """Decide the orders of one upstream."""
 
-    __slots__ = ('dry_until', 'found', 'name', 'peak', 'peak_at', 'sent')
+    __slots__ = (
+        'assumed',
+        'demand_since',
+        'dry_until',
+        'name',
+        'peak',
+        'peak_at',
+        'sent',
+    )
 
     def __init__(self, name: str) -> None:
         """Take the name of the upstream."""
@@ -60,7 +69,8 @@
         self.dry_until: dict[str, float] = {}
         self.peak: float = 0
         self.peak_at: float = 0
-        self.found = 0
+        self.demand_since: float | None = None
+        self.assumed = 0
 
     def decide(
         self,
@@ -68,16 +78,14 @@
         now: float,
     ) -> list[models.WorkerOrder]:
         """Return the orders that are due."""
-        if not self.found:
-            self.found = sum(held.ready for held in situation.standing.values())
-        wanted = self._plan(situation, now)
-        orders = []
-        for (zone, is_reclaimable), count in wanted.items():
-            if self._is_due(situation, (zone, is_reclaimable), count, now):
-                orders.append(
-                    models.WorkerOrder(self.name, zone, is_reclaimable, count),
-                )
-        return orders
+        self._note_demand(situation, now)
+        return [
+            models.WorkerOrder(self.name, zone, is_reclaimable, count)
+            for (zone, is_reclaimable), count in self._plan(
+                situation, now
+            ).items()
+            if self._is_due(situation, (zone, is_reclaimable), count, now)
+        ]
 
     def note_sent(self, order: models.WorkerOrder, now: float) -> None:
         """Remember an order that is on its way."""
@@ -98,6 +106,18 @@
             case models.CallResult.unavailable:
                 self.sent.pop((order.zone, order.is_reclaimable), None)
 
+    def _note_demand(self, situation: Situation, now: float) -> None:
+        if self.demand_since is None:
+            self.assumed = max(self.assumed, _assume_need(situation))
+        demand = situation.tokens_per_s
+        if demand is None:
+            return
+        if self.demand_since is None:
+            self.demand_since = now
+        decayed = self.peak * math.exp((self.peak_at - now) / PEAK_DECAY_S)
+        self.peak = max(demand, decayed)
+        self.peak_at = now
+
     def _plan(
         self,
         situation: Situation,
@@ -105,42 +125,31 @@
     ) -> dict[tuple[str, bool], int]:
         scaling = situation.scaling
         zones = sorted(scaling.prices, key=lambda zone: scaling.prices[zone])
-        needed, least = self._get_needs(situation, now)
-        each = math.ceil(needed / max(1, len(zones)))
-        each = min(max(each, scaling.minimum, 1), scaling.maximum)
-        wanted = {(zone, True): each for zone in zones}
-        reclaimable = sum(
-            min(each, _count(situation, zone, is_reclaimable=True))
-            for zone in zones
-        )
-        short = max(0, least - reclaimable)
+        reclaimable = _spread(self._get_need(now), zones, scaling)
+        standing = {
+            zone: min(count, _count(situation, zone, is_reclaimable=True))
+            for zone, count in reclaimable.items()
+        }
+        wanted = {(zone, True): count for zone, count in reclaimable.items()}
+        least = math.ceil(self.peak / MIN_TOKENS_PER_WORKER)
+        short = max(0, least - sum(standing.values()))
         for zone in zones:
-            held = _count(situation, zone, is_reclaimable=True)
-            stands_in = min(short, scaling.maximum - each)
-            if held < scaling.minimum:
-                stands_in = max(stands_in, scaling.minimum - held)
-            wanted[(zone, False)] = max(0, stands_in)
-            short -= max(0, stands_in)
+            # Places of reclaimable workers that are not to be had are free.
+            free = max(0, scaling.maximum - standing[zone])
+            stands_in = max(
+                min(short, free),
+                scaling.minimum - standing[zone],
+            )
+            wanted[(zone, False)] = stands_in
+            short = max(0, short - stands_in)
         return wanted
 
-    def _get_needs(
-        self,
-        situation: Situation,
-        now: float,
-    ) -> tuple[int, int]:
-        """Return how many workers are wanted and how many must stand."""
-        demand = situation.tokens_per_s
-        if demand is not None:
-            decayed = self.peak * math.exp((self.peak_at - now) / PEAK_DECAY_S)
-            self.peak = max(demand, decayed)
-            self.peak_at = now
-        start = math.ceil(self.found * START_FACTOR)
-        if not self.peak:
-            return start, self.found
-        return (
-            max(math.ceil(self.peak / TOKENS_PER_WORKER), self.found),
-            math.ceil(self.peak / MIN_TOKENS_PER_WORKER),
-        )
+    def _get_need(self, now: float) -> int:
+        need = math.ceil(self.peak / TOKENS_PER_WORKER)
+        since = self.demand_since
+        if since is None or now - since < OBSERVED_S:
+            return max(need, self.assumed)
+        return need
 
     def _is_due(
         self,
@@ -161,5 +170,32 @@
         return held != count and now - sent.at > REPEAT_S
 
 
+def _assume_need(situation: Situation) -> int:
+    """Return the workers that bear a usual load, by those that stand."""
+    on_demand = 0
+    total = 0
+    for (_, is_reclaimable), held in situation.standing.items():
+        total += held.ready
+        if not is_reclaimable:
+            on_demand += held.ready
+    return max(total, math.ceil(on_demand * START_FACTOR))
+
+
+def _spread(
+    need: int,
+    zones: list[str],
+    scaling: gateway.Scaling,
+) -> dict[str, int]:
+    """Divide workers evenly, the rest to the cheapest data centres."""
+    each, rest = divmod(need, max(1, len(zones)))
+    return {
+        zone: min(
+            max(each + (order < rest), scaling.minimum),
+            scaling.maximum,
+        )
+        for order, zone in enumerate(zones)
+    }
+
+
 def _count(situation: Situation, zone: str, *, is_reclaimable: bool) -> int:
     return situation.standing.get((zone, is_reclaimable), Standing()).ready
