Measure quotas over the window; link small fleets directly

Cause: a leaky bucket of one burst refused the first seconds of a flood that the quota over its window allows; facts of load were forwarded by every peer though all are linked, half of the bytes between data centres.

--- a/citronjunction/conf/models.py
+++ b/citronjunction/conf/models.py
@@ -173,6 +173,13 @@
     slack: Count = describe('retries of a window besides', 50)
 
 
+@dataclasses.dataclass(slots=True)
+class Quotas:
+    """How quotas of organisations are measured."""
+
+    window_s: Seconds = describe('span over which use adds up', 8.0, 's')
+
+
 @dataclasses.dataclass(slots=True)
 class Duties:
     """Work of one entry at a time."""
@@ -204,6 +211,7 @@
     listeners: Listeners = dataclasses.field(default_factory=Listeners)
     gateway: Gateway = dataclasses.field(default_factory=Gateway)
     retries: Retries = dataclasses.field(default_factory=Retries)
+    quotas: Quotas = dataclasses.field(default_factory=Quotas)
     duties: Duties = dataclasses.field(default_factory=Duties)
 
 
--- a/citronjunction/duties/usage.py
+++ b/citronjunction/duties/usage.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+TOLD_WINDOWS = 3  # the current one and those not yet reported
 KEPT_WINDOWS = 6  # a report is due two windows after its end
 
 Counts = dict[str, dict[str, int]]
@@ -34,6 +35,11 @@
         if len(self.own) > KEPT_WINDOWS:
             _drop_before(self.own, window - KEPT_WINDOWS)
 
+    def select_recent(self) -> Counts:
+        """Return the own counts that may still change or be missing."""
+        newest = sorted(self.own, key=int)[-TOLD_WINDOWS:]
+        return {window: dict(self.own[window]) for window in newest}
+
     def take_report(self, name: str, incarnation: int, counts: Counts) -> None:
         """Take what a peer counted since its start."""
         held = self.peers.setdefault((name, incarnation), {})
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -18,6 +18,7 @@
 FRESH_IDLE_S = 1.0  # reuse of connections by requests that may run once
 LONG_IDLE_S = 8.0
 RETRY_AFTER_S = 0.3  # a full worker frees a slot within a few answers
+MS_PER_S = 1000
 GATEWAY_TIMEOUT = 504  # HTTP status
 OVER_QUOTA = 429  # HTTP status
 MAX_PRIORITY = 9  # least urgent
@@ -33,6 +34,8 @@
         'cost',
         'deadline',
         'deadline_at',
+        'expected_s',
+        'first_s',
         'fingerprint',
         'is_begun',
         'is_over',
@@ -78,6 +81,8 @@
         self.cost: float = 0
         self.last_event = request.last_event
         self.upstream = ''
+        self.expected_s: float | None = None
+        self.first_s: float | None = None
         self.is_trial = False
         self.is_begun = False
         self.is_over = False
@@ -118,6 +123,8 @@
         """Start to relay a successful answer, or go on with one."""
         self._note_begun()
         self._release_prompt(source)
+        if self.first_s is None:
+            self.first_s = self.acting.timers.now() - source.sent_at
         self.outlet.start(answer)
         self.on_part(source, part)
 
@@ -187,7 +194,10 @@
         if over is None:
             self.cost = cost
             return None
-        text = f'{self.organisation.name} is over its quota'
+        text = (
+            f'{self.organisation.name} used {over.used:.0f} of {over.limit:.0f}'
+            f' and asks for {cost:.0f} more'
+        )
         return verdicts.NotRun(text, over.wait_s, OVER_QUOTA, 'over_quota')
 
     def _draw_upstream(self) -> str:
@@ -229,6 +239,7 @@
 
     def _send(self, found: choosing.Candidate, now: float) -> None:
         worker = found.worker
+        self.expected_s = found.wait_s
         self.tried.append(worker)
         self.run.sends += 1
         self.run.dials += 1
@@ -375,7 +386,8 @@
 
     def _refund(self) -> None:
         if self.organisation is not None and self.cost:
-            self.acting.quotas.refund(self.organisation, self.cost)
+            now = self.acting.timers.now()
+            self.acting.quotas.refund(self.organisation, self.cost, now)
             self.cost = 0
 
     def _close(self, outcome: str, status: int, reason: str = '') -> None:
@@ -401,7 +413,12 @@
             workers=[worker.entry.name for worker in self.tried],
             sends=self.run.sends,
             is_started=self.outlet.is_started,
-            held_ms=round(held_s * 1000),
+            held_ms=round(held_s * MS_PER_S),
+            expected_ms=_to_ms(self.expected_s),
+            first_ms=_to_ms(self.first_s),
+            tokens=self.request.prompt.prompt_tokens
+            if self.request.prompt
+            else 0,
             configuration=self.acting.configuration.version,
         )
 
@@ -424,3 +441,7 @@
             reason=reason,
             until_s=round(worker.health.ejected_until, 3),
         )
+
+
+def _to_ms(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * MS_PER_S)
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -74,7 +74,7 @@
             adapter.codec,
             workers,
             choosing.Chooser(workers, settings.process.zone, loop.random),
-            quotas.Quotas(timers.now()),
+            quotas.Quotas(settings.quotas.window_s),
             rollouts.Rollouts(loop.random),
             suspects.Suspects(settings.attempts),
             self.log,
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -1,24 +1,53 @@
 """Quotas of organisations over all entries, without I/O.
 
-Each entry keeps a leaky bucket an organisation and fills it with its own use
-and with the use that its peers tell. Peers that are silent are taken to use
-an equal part of the rate.
+An organisation may use its rate times a window, and its burst besides, in
+any span of the window's length. Each entry adds up its own use and what its
+peers tell of theirs. Peers that are silent are taken to use an equal part.
 """
 
+import collections
 import dataclasses
 
 from citronjunction.gateway import models
 
 SILENT_S = 1.2  # several intervals between the reports of a peer
 UNKNOWN_PEERS = 7  # entries assumed until peers are heard
+SLICE_S = 0.25  # resolution of the window
 
 
-@dataclasses.dataclass(slots=True)
-class Bucket:
-    """Hold what an organisation used and has not yet regained."""
+class SlidingSum:
+    """Add up use over a sliding window; times are monotonic seconds."""
+
+    __slots__ = ('slices', 'total', 'window_s')
+
+    def __init__(self, window_s: float) -> None:
+        """Take the length of the window."""
+        self.window_s = window_s
+        self.slices: collections.deque[list[float]] = collections.deque()
+        self.total: float = 0
+
+    def add(self, used: float, now: float) -> None:
+        """Add use, or take it back if it is negative."""
+        start = now - now % SLICE_S
+        if not self.slices or self.slices[-1][0] < start:
+            self.slices.append([start, 0])
+        self.slices[-1][1] += used
+        self.total += used
+
+    def measure(self, now: float) -> float:
+        """Return the use of the window that ends now."""
+        while self.slices and self.slices[0][0] <= now - self.window_s:
+            self.total -= self.slices.popleft()[1]
+        return self.total
 
-    level: float
-    at: float
+    def get_wait_s(self, excess: float, now: float) -> float:
+        """Return the time until so much use leaves the window."""
+        left = excess
+        for start, used in self.slices:
+            left -= used
+            if left <= 0:
+                return max(SLICE_S, start + self.window_s - now)
+        return self.window_s
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,22 +61,24 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Over:
-    """Refuse a request over the quota; the wait is in seconds."""
+    """Refuse a request over the quota; ``limit`` is what is allowed now."""
 
     wait_s: float
+    used: float
+    limit: float
 
 
 class Quotas:
     """Admit requests within the quotas; times are monotonic seconds."""
 
-    __slots__ = ('buckets', 'peers', 'started_at', 'used')
+    __slots__ = ('peers', 'sums', 'used', 'window_s')
 
-    def __init__(self, now: float) -> None:
-        """Start without knowledge of the peers."""
-        self.buckets: dict[str, Bucket] = {}
+    def __init__(self, window_s: float) -> None:
+        """Take the window; the peers' use is not yet known."""
+        self.window_s = window_s
+        self.sums: dict[str, SlidingSum] = {}
         self.peers: dict[str, Peer] = {}
         self.used: dict[str, float] = {}
-        self.started_at = now
 
     def admit(
         self,
@@ -57,25 +88,30 @@
     ) -> Over | None:
         """Charge a request, or tell that it is over the quota."""
         quota = organisation.quota
-        if quota.rate_per_s > 0:
-            share = self._get_share(now)
-            bucket = self._drain(organisation, share, now)
-            excess = bucket.level + cost - quota.burst * share
-            # A request larger than a whole allowance passes an empty bucket.
-            if excess > 0 and bucket.level > 0:
-                return Over(excess / (quota.rate_per_s * share))
-            bucket.level += cost
         name = organisation.name
+        held = self._get_sum(name)
+        if quota.rate_per_s > 0:
+            limit = quota.rate_per_s * self.window_s + quota.burst
+            limit *= self._get_share(now)
+            used = held.measure(now)
+            excess = used + cost - limit
+            # A request larger than the whole limit passes an unused window.
+            if excess > 0 and used > 0:
+                return Over(held.get_wait_s(excess, now), used, limit)
+        held.add(cost, now)
         self.used[name] = self.used.get(name, 0) + cost
         return None
 
-    def refund(self, organisation: models.Organisation, cost: float) -> None:
+    def refund(
+        self,
+        organisation: models.Organisation,
+        cost: float,
+        now: float,
+    ) -> None:
         """Take back the charge of a request that no worker ran."""
         name = organisation.name
         self.used[name] = self.used.get(name, 0) - cost
-        bucket = self.buckets.get(name)
-        if bucket is not None:
-            bucket.level = max(0, bucket.level - cost)
+        self._get_sum(name).add(-cost, now)
 
     def take_report(
         self,
@@ -92,14 +128,20 @@
         before = known.used if known.incarnation == incarnation else {}
         for organisation, total in used.items():
             rise = total - before.get(organisation, 0)
-            bucket = self.buckets.get(organisation)
-            if bucket is not None:
-                bucket.level = max(0, bucket.level + rise)
+            if rise:
+                self._get_sum(organisation).add(rise, now)
 
     def forget(self, name: str) -> None:
         """Drop a peer that has left."""
         self.peers.pop(name, None)
 
+    def _get_sum(self, organisation: str) -> SlidingSum:
+        held = self.sums.get(organisation)
+        if held is None:
+            held = SlidingSum(self.window_s)
+            self.sums[organisation] = held
+        return held
+
     def _get_share(self, now: float) -> float:
         """Return the part of a quota that this entry sees the use of."""
         if not self.peers:
@@ -109,22 +151,6 @@
         )
         return (1 + heard) / (1 + len(self.peers))
 
-    def _drain(
-        self,
-        organisation: models.Organisation,
-        share: float,
-        now: float,
-    ) -> Bucket:
-        quota = organisation.quota
-        bucket = self.buckets.get(organisation.name)
-        if bucket is None:
-            bucket = Bucket(0, now)
-            self.buckets[organisation.name] = bucket
-        regained = (now - bucket.at) * quota.rate_per_s * share
-        bucket.level = max(0, bucket.level - regained)
-        bucket.at = now
-        return bucket
-
 
 def compute_cost(
     organisation: models.Organisation,
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -50,7 +50,7 @@
                     for name, used in acting.quotas.used.items()
                 },
                 dict(acting.offered),
-                {key: dict(held) for key, held in self.ledger.own.items()},
+                self.ledger.select_recent(),
                 self.is_holder,
             ),
         )
--- a/citronjunction/membership/spread.py
+++ b/citronjunction/membership/spread.py
@@ -7,6 +7,9 @@
 
 MAX_FACTS_PER_MESSAGE = 200
 MAX_KEYS_PER_DIGEST = 2000
+# Told by their origin again and again; where all nodes are linked to each
+# other, forwarding them would only multiply the bytes.
+PERIODIC = (facts.EntryState, facts.LoadState)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -28,7 +31,7 @@
 class Spreader:
     """Send each new fact once over each link, and repair what was lost."""
 
-    __slots__ = ('links', 'random', 'table')
+    __slots__ = ('forwards', 'links', 'random', 'table')
 
     def __init__(
         self,
@@ -38,6 +41,7 @@
         """Take the facts and a random source."""
         self.table = held
         self.random = source
+        self.forwards = True
         self.links: dict[str, Link] = {}
 
     def open_link(self, name: str) -> list[Outgoing]:
@@ -70,7 +74,8 @@
                 _note_known(link, fact)
             merged = self.table.merge(fact, now)
             if merged is not None:
-                self._schedule(merged)
+                if self.forwards or not isinstance(merged, PERIODIC):
+                    self._schedule(merged)
                 news.append(merged)
         return news
 
--- a/citronjunction/peering/node.py
+++ b/citronjunction/peering/node.py
@@ -114,7 +114,11 @@
         own = topology.Node(self.own_name, '', process.zone)
         count = self.settings.membership.links
         chosen = topology.choose_peers(own, usable, count)
-        targets = [node.peer_address for node in chosen]
+        targets = [
+            node.peer_address
+            for node in chosen
+            if node.name not in self.ready or node.peer_address in self.dialled
+        ]
         if not self.ready:
             seeds = self.settings.membership.seeds.split(',')
             targets.extend(seed.strip() for seed in seeds if seed.strip())
@@ -142,6 +146,7 @@
         """Take a message of a peer."""
         match message:
             case messages.Facts():
+                self.spreader.forwards = not self._is_full_mesh()
                 news = self.spreader.receive_facts(
                     link.name,
                     message,
@@ -175,6 +180,14 @@
         self.rejected += 1
         logging.warning('peer link rejected: %s', reason[:200])
 
+    def _is_full_mesh(self) -> bool:
+        """Tell whether every live peer has a link to this node."""
+        live = self.presence.select_live(self.loop.timers.now())
+        return all(
+            state.name in self.ready or state.name == self.own_name
+            for state in live
+        )
+
     def _is_preferred(self, older: links.Link, newer: links.Link) -> bool:
         """Tell whether to keep the older of two links.
 
--- /dev/null
+++ b/tests/gateway/test_quotas.py
@@ -0,0 +1,124 @@
+"""Quotas: a flood of one organisation, silent peers, restarts."""
+
+import pytest
+
+from citronjunction.gateway import models, quotas
+
+RATE = 1000.0
+BURST = 2000.0
+WINDOW_S = 8.0
+LIMIT = RATE * WINDOW_S + BURST
+QUOTA = models.Quota(RATE, BURST, models.QuotaUnit.tokens, 10)
+ORG = models.Organisation('org', None, QUOTA)
+
+
+class Entries:
+    """Several entries that tell each other their use after an interval."""
+
+    def __init__(self, count):
+        self.now = 100.0
+        self.held = {
+            f'e{number}': quotas.Quotas(WINDOW_S) for number in range(count)
+        }
+        self.admitted = []
+        self.tell()
+
+    def tell(self, silent=()):
+        for name, own in self.held.items():
+            for other, held in self.held.items():
+                if other != name and name not in silent:
+                    used = dict(own.used)
+                    held.take_report(name, 1, used, self.now)
+
+    def ask(self, name, cost):
+        over = self.held[name].admit(ORG, cost, self.now)
+        if over is None:
+            self.admitted.append((self.now, cost))
+        return over
+
+    def measure_worst_window(self):
+        return max(
+            sum(c for at, c in self.admitted if 0 <= at - start < WINDOW_S)
+            for start, _ in self.admitted
+        )
+
+
+def test_a_flood_of_one_organisation_is_held_to_its_quota():
+    entries = Entries(4)
+    for step in range(400):
+        entries.now += 0.05
+        for name in entries.held:
+            entries.ask(name, 100)  # eight times the rate
+        if step % 5 == 0:
+            entries.tell()
+
+    worst = entries.measure_worst_window()
+    assert worst >= LIMIT * 0.95
+    assert worst <= LIMIT * 1.1 + 8 * RATE * 0.3  # use within an interval
+
+
+def test_use_within_the_quota_is_never_refused():
+    entries = Entries(4)
+    for step in range(400):
+        entries.now += 0.05
+        assert entries.ask(f'e{step % 4}', RATE * 0.05) is None
+        if step % 5 == 0:
+            entries.tell()
+
+
+def test_the_burst_is_there_at_the_start_of_a_wave():
+    entries = Entries(4)
+    entries.now += 1
+
+    assert sum(entries.ask('e0', 500) is None for _ in range(40)) == 20
+
+
+def test_silent_peers_count_as_an_equal_part():
+    entries = Entries(4)
+    entries.now += 2
+    entries.tell(silent=('e1', 'e2', 'e3'))
+
+    admitted = sum(entries.ask('e0', 100) is None for _ in range(100))
+    assert admitted * 100 == pytest.approx(LIMIT / 4, abs=100)
+
+
+def test_a_restarted_entry_uses_a_small_part_until_it_hears_peers():
+    held = quotas.Quotas(WINDOW_S)
+    admitted = sum(held.admit(ORG, 100, 5.0) is None for _ in range(100))
+
+    assert admitted * 100 <= LIMIT / quotas.UNKNOWN_PEERS + 100
+
+
+def test_a_request_larger_than_the_limit_passes_an_unused_window():
+    held = quotas.Quotas(WINDOW_S)
+
+    assert held.admit(ORG, LIMIT * 3, 5.0) is None
+    assert held.admit(ORG, 1, 5.0) is not None
+
+
+def test_the_wait_told_is_long_enough():
+    held = quotas.Quotas(WINDOW_S)
+    held.take_report('peer', 1, {}, 5.0)
+    while held.admit(ORG, 100, 5.0) is None:
+        pass
+    over = held.admit(ORG, 100, 5.0)
+    held.take_report('peer', 1, {}, 5.0 + over.wait_s)
+
+    assert held.admit(ORG, 100, 5.01 + over.wait_s) is None
+
+
+def test_a_refund_frees_the_quota():
+    held = quotas.Quotas(WINDOW_S)
+    held.admit(ORG, LIMIT, 5.0)
+    held.refund(ORG, LIMIT, 5.1)
+
+    assert held.admit(ORG, 100, 5.2) is None
+    assert held.used['org'] == 100
+
+
+def test_a_peer_that_restarts_counts_from_its_new_start():
+    held = quotas.Quotas(WINDOW_S)
+    held.take_report('peer', 1, {'org': 5000}, 5.0)
+    held.take_report('peer', 2, {'org': 300}, 5.1)
+
+    assert held.sums['org'].measure(5.2) == 300
