Hold an on-demand reserve while reclaimable workers are not to be had

Change: a leaving worker ends what is on its way; once an order was refused, a data centre's worth more must stand.

--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -17,6 +17,7 @@
 OBSERVED_S = 12.0  # demand seen for as long replaces the assumption at start
 START_FACTOR = 2.0  # workers for each on-demand worker found at the start
 PEAK_DECAY_S = 25.0  # time in which a past peak of demand is forgotten
+DRY_S = 2.0  # after the last refusal until the market counts as open again
 UNOBTAINABLE_S = 1.5  # pause before reclaimable workers are ordered again
 SHRINK_S = 8.0  # a smaller need must last this long; a boot takes four
 BOOT_MARGIN_S = 2.0  # from a worker's start until its entry is seen
@@ -138,6 +139,9 @@
         }
         wanted = {(zone, True): count for zone, count in reclaimable.items()}
         least = math.ceil(self.peak / MIN_TOKENS_PER_WORKER)
+        if self._is_dry(now):
+            # Reclaims come in waves: bear the loss of a data centre more.
+            least += max(standing.values(), default=0)
         short = max(0, least - sum(standing.values()))
         for zone in zones:
             # Places of reclaimable workers that are not to be had are free.
@@ -150,6 +154,9 @@
             short = max(0, short - stands_in)
         return wanted
 
+    def _is_dry(self, now: float) -> bool:
+        return any(now < until + DRY_S for until in self.dry_until.values())
+
     def _count_coming(
         self,
         situation: Situation,
@@ -157,10 +164,11 @@
         now: float,
     ) -> int:
         """Return the reclaimable workers that stand or are starting."""
-        ready = _count(situation, zone, is_reclaimable=True)
+        held = situation.standing.get((zone, True), Standing())
+        ready = held.ready
         sent = self.sent.get((zone, True))
         boot_s = situation.scaling.boot_s + BOOT_MARGIN_S
-        if sent is None or now - sent.at > boot_s:
+        if sent is None or held.leaving or now - sent.at > boot_s:
             return ready
         return max(ready, sent.count)
 
--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -167,3 +167,15 @@
     ordered = [order for _, order in started.log if not order.is_reclaimable]
     assert all(not order.count for order in ordered[-2:])
     assert started.count(is_reclaimable=False) == 0
+
+
+def test_a_wave_of_reclaims_is_met_before_its_second_loss(started):
+    started.run(20, tokens_per_s=200_000)
+    started.is_dry = True
+    started.reclaim('a')
+    started.run(6, tokens_per_s=200_000)
+    started.reclaim('b')
+
+    total = started.count(is_reclaimable=True)
+    total += started.count(is_reclaimable=False)
+    assert total * scaling.MIN_TOKENS_PER_WORKER >= 200_000
