Notice a silent store by a probe, and list before watching again

A watch begun while the store was silent hung until its own end, well after the store had returned. Change: each second one stale read, at a tenth of a call's price, tells whether the store answers; on failure all calls under way are ignored and peers asked, on return all kinds are listed. Test: a silent outage at five offsets (failed at one before; with watches of 10 s two more tests failed too).

--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from citronjunction.gateway import fleet, models, services
-from citronjunction.store import mirror, records
+from citronjunction.store import mirror, probing, records
 
 ROLLOUT_WAIT_FACTOR = 2  # rollouts are rare; their watch may wait longer
 MASS_SHARE = 0.5  # of an upstream's workers; more at once is a lapse
@@ -65,6 +65,14 @@
                 (decoder.rollout_kind, wait_s * ROLLOUT_WAIT_FACTOR),
             )
         }
+        self.probe = probing.Probe(
+            store,
+            acting.timers,
+            decoder.configuration_kind,
+            decoder.configuration_name,
+            self._on_probe,
+        )
+        self.is_suspended = False
         self.returned_at: float | None = None
 
     @property
@@ -79,6 +87,7 @@
         """Start all mirrors."""
         for held in self.mirrors.values():
             held.start()
+        self.probe.start()
 
     def refresh(self, kind: str) -> None:
         """List a kind again, since a peer knows something newer."""
@@ -124,6 +133,19 @@
             self.returned_at = self.acting.timers.now()
         self.acting.log.write('store', kind, is_reachable=is_reachable)
 
+    def _on_probe(self, result: records.ReadResult) -> None:
+        match result:
+            case records.Unavailable(reason=reason):
+                if not self.is_suspended:
+                    self.acting.log.write('store probe failed', reason)
+                self.is_suspended = True
+                for held in self.mirrors.values():
+                    held.suspend()
+            case _ if self.is_suspended:
+                self.is_suspended = False
+                for held in self.mirrors.values():
+                    held.start()
+
     def _get_grace_s(self, worker: fleet.Worker) -> float:
         now = self.acting.timers.now()
         if self.returned_at is not None:
--- a/citronjunction/platform/object_store.py
+++ b/citronjunction/platform/object_store.py
@@ -56,6 +56,16 @@
         """Read one object."""
         self._call('GET', _path(kind, name), None, _Object(on_read))
 
+    def read_stale(
+        self,
+        kind: str,
+        name: str,
+        on_read: records.OnRead,
+    ) -> None:
+        """Read one object as it was at most seconds ago, at less cost."""
+        path = _path(kind, name, {'serializable': '1'})
+        self._call('GET', path, None, _Object(on_read))
+
     def create(
         self,
         kind: str,
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -60,6 +60,11 @@
         self.listed.clear()
         self._list('')
 
+    def suspend(self) -> None:
+        """Ignore calls under way, whose answers may never come."""
+        self.turn += 1
+        self._note_unreachable()
+
     @property
     def needs_copy(self) -> bool:
         """Tell whether a peer's copy may be newer than this one."""
@@ -95,7 +100,7 @@
                 self._note_reachable()
                 self._take_page(result)
             case records.Unavailable():
-                self._retry(result.reason, self.start)
+                self._retry()
 
     def _take_page(self, page: records.Page) -> None:
         for record in page.records:
@@ -140,7 +145,9 @@
             case records.HistoryGone():
                 self.start()
             case records.Unavailable():
-                self._retry(result.reason, self._watch)
+                # A watch that hangs and one that waits look the same, so
+                # after a failure only a list proves that the store answers.
+                self._retry()
 
     def _apply(self, change: records.Change) -> None:
         if change.is_removed:
@@ -164,14 +171,17 @@
             self.is_reachable = True
             self.listener.on_reachable(self.kind, is_reachable=True)
 
-    def _retry(self, reason: str, again: 'deadlines.Call') -> None:
-        self.failures += 1
+    def _note_unreachable(self) -> None:
         if self.is_reachable:
             self.is_reachable = False
             self.listener.on_reachable(self.kind, is_reachable=False)
+
+    def _retry(self) -> None:
+        self.failures += 1
+        self._note_unreachable()
         pause_s = min(MAX_RETRY_S, MIN_RETRY_S * 2**self.failures)
         turn = self.turn
         self.timers.call_later(
             pause_s * (1 + self.random.random()) / 2,
-            lambda: again() if turn == self.turn else None,
+            lambda: self.start() if turn == self.turn else None,
         )
--- a/citronjunction/store/records.py
+++ b/citronjunction/store/records.py
@@ -94,6 +94,9 @@
     def read(self, kind: str, name: str, on_read: OnRead) -> None:
         """Read one object."""
 
+    def read_stale(self, kind: str, name: str, on_read: OnRead) -> None:
+        """Read one object as it was at most seconds ago, at less cost."""
+
     def create(
         self,
         kind: str,
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -139,3 +139,29 @@
     acting = deployed.gateways['gateway-1'].acting
     assert acting.configuration.version == 2
     assert acting.fleet.workers['app-0'].is_draining
+
+
+@pytest.mark.parametrize('lead_s', [0.0, 0.4, 0.9, 2.0, 4.0])
+def test_a_silent_outage_does_not_outlive_the_store_s_return(lead_s):
+    deployed = platform_system.PlatformSystem().build()
+    deployed.world.run(lead_s)
+    deployed.store.is_down = True
+    deployed.world.run(4.5)
+    deployed.store.is_down = False
+    deployed.world.run(0.8)
+    deployed.configure(routes=[])
+    deployed.world.run(2.0)
+
+    acting = deployed.gateways['gateway-0'].acting
+    assert acting.configuration.version == 2
+
+
+def test_a_calm_store_is_asked_rarely(deployed):
+    deployed.world.run(10)
+    before = deployed.store.calls
+    deployed.world.run(20)
+
+    watches = 20 / 10 * 2 + 1
+    probes = 20
+    lease = 20 / 2
+    assert deployed.store.calls - before <= watches + probes + lease + 6
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -161,6 +161,7 @@
             held.settings.listeners.control for held in self.gateways.values()
         )
         settings.attempts.suspect_crashes = 3
+        settings.gateway.watch_s = 10
         host = self.world.add_host(name)
         built = command.build_node(host, settings, '')
         built.start()
