Drop answers to other calls inside the reader; test adapter and duties

Cause: an answer to an earlier call in the same bytes as the own one closed the connection, and the request counted as one that may have run. Change: the reader skips answers whose echo is another call's. The flow's log lines and its judgement of workers stand in modules of their own.

--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -25,10 +25,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Candidate:
-    """Hold a worker, the wait and the prompt tokens to read there."""
+    """Hold a worker and what a request meets there.
+
+    ``wait_s`` is the time to the first event, ``queue_s`` the part of it
+    that is spent on the prompts of others.
+    """
 
     worker: fleet.Worker
     wait_s: float
+    queue_s: float
     unread_tokens: int
 
 
@@ -90,7 +95,7 @@
         now: float,
     ) -> Candidate:
         best = min(usable, key=lambda worker: self._rank_plain(worker, now))
-        return Candidate(best, 0, 0)
+        return Candidate(best, 0, 0, 0)
 
     def _rank_plain(
         self,
@@ -128,7 +133,8 @@
             if worker.entry.zone != self.zone:
                 cost_s += MISSED_ZONE_S
             if cost_s < best_cost_s:
-                best = Candidate(worker, wait_s, unread)
+                queue_s = worker.total_unread / PREFILL_TOKENS_PER_S
+                best = Candidate(worker, wait_s, queue_s, unread)
                 best_cost_s = cost_s
         return best
 
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -4,11 +4,12 @@
 from citronjunction.gateway import (
     attempt,
     choosing,
-    counting,
     evidence,
+    judging,
     models,
     outlet,
     quotas,
+    recording,
     services,
 )
 from citronjunction.transport import deadlines, front
@@ -18,7 +19,6 @@
 FRESH_IDLE_S = 1.0  # reuse of connections by requests that may run once
 LONG_IDLE_S = 8.0
 RETRY_AFTER_S = 0.3  # a full worker frees a slot within a few answers
-MS_PER_S = 1000
 GATEWAY_TIMEOUT = 504  # HTTP status
 OVER_QUOTA = 429  # HTTP status
 MAX_PRIORITY = 9  # least urgent
@@ -169,7 +169,9 @@
     ) -> None:
         """Try again, go on elsewhere, or give up."""
         self._close_attempt(source, is_good=None)
-        self._note_worker(source, failed)
+        judging.note_failure(self.acting, source.worker, failed)
+        if failed.code == 'connection_lost':
+            self.acting.on_suspect(self.fingerprint, source.worker.entry.name)
         if failed.evidence is evidence.Evidence.may_have_run:
             self._note_begun()
         self.run.note(failed)
@@ -232,8 +234,35 @@
                 ),
             )
             return
+        shed = self._shed(found)
+        if shed is not None:
+            self._finish(shed)
+            return
         self._send(found, now)
 
+    def _shed(self, found: choosing.Candidate) -> verdicts.NotRun | None:
+        if self.run.dials or self.request.prompt is None:
+            return None
+        shed = self.acting.shedder.judge(
+            self.upstream,
+            self._get_rank(),
+            found.queue_s,
+        )
+        if shed is None:
+            return None
+        text = (
+            f'prompts wait {shed.queue_s:.2f} s at the best worker of'
+            f' {self.upstream}, over {shed.limit_s:.2f} s'
+        )
+        delay_s = shed.retry_after_s * (0.5 + self.acting.random.random())
+        return verdicts.NotRun(text, delay_s, code='overloaded')
+
+    def _get_rank(self) -> int:
+        organisation = self.organisation
+        if organisation is not None and organisation.rank is not None:
+            return organisation.rank
+        return self.route.rank
+
     def _allows(self, worker: object) -> bool:
         return self.acting.rollouts.allows(worker, is_trial=self.is_trial)
 
@@ -263,9 +292,6 @@
 
     def _assign(self, worker: object, now: float) -> models.Assignment:
         organisation = self.organisation
-        rank = self.route.rank
-        if organisation and organisation.rank is not None:
-            rank = organisation.rank
         is_prompt = self.request.prompt is not None
         max_idle_s = LONG_IDLE_S if self.route.is_idempotent else FRESH_IDLE_S
         return models.Assignment(
@@ -273,7 +299,7 @@
             worker.entry.address,
             max(MIN_TIME_LEFT_S, self.deadline_at - now),
             organisation.name if organisation else '',
-            min(MAX_PRIORITY, rank) if is_prompt else None,
+            min(MAX_PRIORITY, self._get_rank()) if is_prompt else None,
             self.last_event,
             CONNECT_S,
             max_idle_s,
@@ -290,7 +316,7 @@
                 budget = self.acting.get_budget(self.upstream)
                 if is_retry and not budget.spend(self.acting.entries, now):
                     return False
-                self._log_retry(failed)
+                recording.record_retry(self, failed)
                 self._try_worker()
                 return True
         return False
@@ -341,38 +367,9 @@
         self._release_prompt(source)
         source.worker.running -= 1
         if is_good is not None:
-            self._judge(source, is_good=is_good)
-
-    def _judge(self, source: attempt.Attempt, *, is_good: bool) -> None:
-        worker = source.worker
-        self.acting.rollouts.record(worker, is_good=is_good)
+            judging.note_answer(self.acting, source.worker, is_good=is_good)
         if is_good:
-            worker.health.record_success()
             self.acting.suspects.clear(self.fingerprint)
-        elif worker.health.record_failure(self.acting.timers.now()):
-            self._log_ejection(worker, 'errors')
-
-    def _note_worker(
-        self,
-        source: attempt.Attempt,
-        failed: evidence.Failed,
-    ) -> None:
-        worker = source.worker
-        now = self.acting.timers.now()
-        match failed.evidence:
-            case evidence.Evidence.not_sent:
-                worker.health.record_unreachable(now)
-                self.acting.client.drop_idle(worker.entry.address)
-                self._log_ejection(worker, failed.reason)
-            case evidence.Evidence.may_have_run:
-                if worker.health.record_failure(now):
-                    self._log_ejection(worker, failed.reason)
-                if failed.code == 'connection_lost':
-                    self.acting.on_suspect(self.fingerprint, worker.entry.name)
-            case evidence.Evidence.refused:
-                if failed.code == 'misdirected':
-                    self.acting.fleet.remove(worker)
-                    self._log_ejection(worker, failed.reason)
 
     def _release_prompt(self, source: attempt.Attempt) -> None:
         source.worker.unread_tokens -= source.unread
@@ -397,51 +394,4 @@
         self.deadline.cancel()
         self.acting.flows.discard(self)
         self.outlet.exchange.on_gone = None
-        now = self.acting.timers.now()
-        held_s = now - self.request.arrived_at
-        self.acting.counts.record(
-            counting.Ended(outcome, self.route.kind.value, held_s),
-        )
-        self.acting.log.write(
-            'end',
-            self.request.name,
-            outcome=outcome,
-            status=status,
-            reason=reason,
-            route=self.route.name,
-            organisation=self.organisation.name if self.organisation else '',
-            workers=[worker.entry.name for worker in self.tried],
-            sends=self.run.sends,
-            is_started=self.outlet.is_started,
-            held_ms=round(held_s * MS_PER_S),
-            expected_ms=_to_ms(self.expected_s),
-            first_ms=_to_ms(self.first_s),
-            tokens=self.request.prompt.prompt_tokens
-            if self.request.prompt
-            else 0,
-            configuration=self.acting.configuration.version,
-        )
-
-    def _log_retry(self, failed: evidence.Failed) -> None:
-        self.acting.counts.record(counting.Retried(failed.evidence.value))
-        self.acting.log.write(
-            'retry',
-            self.request.name,
-            evidence=failed.evidence.value,
-            reason=failed.reason,
-            sends=self.run.sends,
-            last_event=self.last_event,
-        )
-
-    def _log_ejection(self, worker: object, reason: str) -> None:
-        self.acting.log.write(
-            'eject',
-            worker.entry.name,
-            upstream=worker.entry.upstream,
-            reason=reason,
-            until_s=round(worker.health.ejected_until, 3),
-        )
-
-
-def _to_ms(seconds: float | None) -> int | None:
-    return None if seconds is None else round(seconds * MS_PER_S)
+        recording.record_end(self, outcome, status, reason)
--- /dev/null
+++ b/citronjunction/gateway/judging.py
@@ -0,0 +1,52 @@
+"""What answers and failures tell about a worker."""
+
+from citronjunction.gateway import evidence, fleet, services
+
+
+def note_answer(
+    acting: services.Services,
+    worker: fleet.Worker,
+    *,
+    is_good: bool,
+) -> None:
+    """Count an answer for or against a worker and its version."""
+    acting.rollouts.record(worker, is_good=is_good)
+    if is_good:
+        worker.health.record_success()
+    elif worker.health.record_failure(acting.timers.now()):
+        _log_ejection(acting, worker, 'errors')
+
+
+def note_failure(
+    acting: services.Services,
+    worker: fleet.Worker,
+    failed: evidence.Failed,
+) -> None:
+    """Eject a worker that cannot be reached, or forget one that is gone."""
+    now = acting.timers.now()
+    match failed.evidence:
+        case evidence.Evidence.not_sent:
+            worker.health.record_unreachable(now)
+            acting.client.drop_idle(worker.entry.address)
+            _log_ejection(acting, worker, failed.reason)
+        case evidence.Evidence.may_have_run:
+            acting.rollouts.record(worker, is_good=False)
+            if worker.health.record_failure(now):
+                _log_ejection(acting, worker, failed.reason)
+        case evidence.Evidence.refused if failed.code == 'misdirected':
+            acting.fleet.remove(worker)
+            _log_ejection(acting, worker, failed.reason)
+
+
+def _log_ejection(
+    acting: services.Services,
+    worker: fleet.Worker,
+    reason: str,
+) -> None:
+    acting.log.write(
+        'eject',
+        worker.entry.name,
+        upstream=worker.entry.upstream,
+        reason=reason,
+        until_s=round(worker.health.ejected_until, 3),
+    )
--- a/citronjunction/gateway/services.py
+++ b/citronjunction/gateway/services.py
@@ -16,6 +16,7 @@
     ports,
     quotas,
     rollouts,
+    shedding,
 )
 from citronjunction.observability import decisions
 from citronjunction.transport import deadlines, http_client
@@ -39,6 +40,9 @@
     counts: counting.Counts
     on_begun: abc.Callable[[str], None]
     on_suspect: abc.Callable[[int, str], None]
+    shedder: shedding.Shedder = dataclasses.field(
+        default_factory=shedding.Shedder,
+    )
     configuration: models.Configuration | None = None
     routes: matching.RouteTable = dataclasses.field(
         default_factory=lambda: matching.RouteTable(()),
@@ -68,3 +72,4 @@
         """Put a configuration in force."""
         self.configuration = configuration
         self.routes = matching.RouteTable(configuration.routes)
+        self.shedder.apply(configuration)
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -45,6 +45,12 @@
     host: str = ''
     echo: Echo | None = None
 
+    def is_foreign(self, headers: abc.Mapping[str, str]) -> bool:
+        """Tell whether an answer with such headers is another call's."""
+        if self.echo is None:
+            return False
+        return headers.get(self.echo.name, self.echo.text) != self.echo.text
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Head:
@@ -109,7 +115,7 @@
         self.is_sent = False
         self.lost_code = 'connection_lost'
         self.is_head_told = False
-        self.reader = responses.ResponseReader()
+        self.reader = responses.ResponseReader(call.is_foreign)
 
     def on_open(self) -> None:
         """Send the request."""
@@ -131,18 +137,12 @@
         self._tell(part)
 
     def _take_malformed(self, error: responses.ResponseError) -> None:
-        if self.reader.is_whole and not self._is_foreign():
+        if self.reader.is_whole:
             self.reader.keeps_alive = False
             self._tell(self.reader.take_body())
             return
         self.client.sockets.close(self.connection, f'bad response: {error}')
 
-    def _is_foreign(self) -> bool:
-        echo = self.call.echo
-        if echo is None:
-            return False
-        return self.reader.headers.get(echo.name, echo.text) != echo.text
-
     def on_close(self, reason: str, was_open: bool) -> None:
         """Fail the call unless its response is whole."""
         self.client.forget(self)
@@ -174,9 +174,6 @@
 
     def _tell(self, part: bytes) -> None:
         reader = self.reader
-        if reader.has_head and self._is_foreign():
-            self._skip_foreign()
-            return
         if reader.has_head and not self.is_head_told:
             self.is_head_told = True
             head = Head(
@@ -201,13 +198,6 @@
             self.client.sockets.close(self.connection, 'finished')
         sink.on_end()
 
-    def _skip_foreign(self) -> None:
-        if not self.reader.is_framed:
-            reason = 'an answer to another call, without a length'
-            self.client.sockets.close(self.connection, reason)
-        elif self.reader.is_whole:
-            self.reader = responses.ResponseReader()
-
     def _is_reusable(self) -> bool:
         connection = self.connection
         if connection.is_closed or connection.unsent:
--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -1,5 +1,7 @@
 """Incremental reader of HTTP responses."""
 
+from collections import abc
+
 import httptools
 
 CONTINUE = 100
@@ -10,6 +12,13 @@
     """Raised for bytes that are not one HTTP response."""
 
 
+IsForeign = abc.Callable[[abc.Mapping[str, str]], bool]
+
+
+def _is_never_foreign(headers: abc.Mapping[str, str]) -> bool:
+    return False
+
+
 class ResponseReader:
     """Collect what each piece of bytes brings of one response."""
 
@@ -18,15 +27,19 @@
         'has_head',
         'headers',
         'fields',
+        'is_foreign',
         'is_framed',
+        'is_skipping',
         'is_whole',
         'keeps_alive',
         'parser',
         'status',
     )
 
-    def __init__(self) -> None:
-        """Start before the first byte."""
+    def __init__(self, is_foreign: IsForeign = _is_never_foreign) -> None:
+        """Take what tells by its headers that an answer is another call's."""
+        self.is_foreign = is_foreign
+        self.is_skipping = False
         self.parser = httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
         self.fields: list[tuple[bytes, bytes]] = []
@@ -77,18 +90,25 @@
             self.headers.clear()
             self.fields.clear()
             return
-        self.has_head = True
         self.is_framed = (
             'content-length' in self.headers
             or 'transfer-encoding' in self.headers
         )
+        self.is_skipping = self.is_foreign(self.headers)
+        if self.is_skipping and not self.is_framed:
+            raise ResponseError('an answer to another call, without a length')
+        self.has_head = not self.is_skipping
 
     def on_body(self, part: bytes) -> None:
         """Take a part of the body."""
-        self.body.append(part)
+        if not self.is_skipping:
+            self.body.append(part)
 
     def on_message_complete(self) -> None:
-        """Note that the response is whole."""
-        if self.has_head:
+        """Note that the response is whole, or go on to the next."""
+        if self.is_skipping:
+            self.headers.clear()
+            self.fields.clear()
+        elif self.has_head:
             self.is_whole = True
             self.keeps_alive = self.parser.should_keep_alive()
--- /dev/null
+++ b/tests/duties/test_holder.py
@@ -0,0 +1,172 @@
+"""One entry at a time reports usage and orders workers."""
+
+import pytest
+
+from citronjunction.duties import clock, usage
+from tests.support import platform_system, virtual
+
+SCALED = {
+    'name': 'llm',
+    'healthPath': '/healthz',
+    'maxConns': 100,
+    'scaling': {
+        'min': 1,
+        'max': 3,
+        'bootS': 4.0,
+        'spotPrice': 0.2,
+        'zonePrices': {'z1': 1.0, 'z2': 0.8},
+    },
+}
+
+
+@pytest.fixture
+def deployed():
+    held = platform_system.PlatformSystem()
+    held.configuration['services'][1] = SCALED
+    return held.build(gateways=3)
+
+
+def find_holder(deployed):
+    now = deployed.world.now
+    return [
+        name
+        for name, held in deployed.gateways.items()
+        if deployed.gateway_hosts[name].is_alive
+        and held.holder.lease.is_held(now)
+    ]
+
+
+def ask_for(deployed, seconds, gateways=('gateway-0', 'gateway-1')):
+    for number in range(seconds * 2):
+        gateway = gateways[number % len(gateways)]
+        deployed.ask('/safe/x', gateway=gateway, run_s=0.5)
+
+
+def check_reports(deployed):
+    by_window = {}
+    for _, report in deployed.cloud.usage:
+        counts = by_window.setdefault(report['windowId'], report['counts'])
+        assert counts == report['counts']
+    return by_window
+
+
+def check_fences(deployed):
+    seen = {}
+    last = 0
+    for (holder, epoch), _ in deployed.cloud.usage + deployed.cloud.orders:
+        assert seen.setdefault(epoch, holder) == holder
+    for (_, epoch), _ in deployed.cloud.usage:
+        assert epoch >= last
+        last = epoch
+
+
+def test_usage_of_all_entries_is_reported_once(deployed):
+    ask_for(deployed, 20)
+    deployed.world.run(10)
+
+    reports = check_reports(deployed)
+    assert sum(counts['org'] for counts in reports.values()) == 40
+    assert len(deployed.cloud.usage) == len(reports)
+    assert len(find_holder(deployed)) == 1
+
+
+def test_a_successor_goes_on_with_a_higher_fence(deployed):
+    ask_for(deployed, 8, gateways=('gateway-0',))
+    (first,) = find_holder(deployed)
+    deployed.gateway_hosts[first].kill()
+    deployed.world.run(1)
+    rest = [name for name in deployed.gateways if name != first]
+    ask_for(deployed, 20, gateways=rest)
+    deployed.world.run(8)
+
+    (second,) = find_holder(deployed)
+    assert second != first
+    check_fences(deployed)
+    check_reports(deployed)
+    holders = {holder for (holder, _), _ in deployed.cloud.usage}
+    assert second in holders
+
+
+def test_a_paused_holder_sends_nothing_after_its_lease(deployed):
+    ask_for(deployed, 8)
+    (first,) = find_holder(deployed)
+    rest = [name for name in deployed.gateways if name != first]
+    deployed.gateway_hosts[first].pause(9)
+    ask_for(deployed, 8, gateways=rest)
+    deployed.world.run(15)
+
+    check_fences(deployed)
+    check_reports(deployed)
+
+
+def test_lost_answers_of_the_store_do_not_change_a_report(deployed):
+    for _ in range(8):
+        deployed.store.lost_answers = 2
+        ask_for(deployed, 3)
+    deployed.store.lost_answers = 0
+    deployed.world.run(12)
+
+    check_reports(deployed)
+    check_fences(deployed)
+    assert deployed.cloud.usage
+
+
+def test_a_cloud_that_is_down_is_asked_again(deployed):
+    deployed.cloud.is_down = True
+    ask_for(deployed, 10)
+    deployed.cloud.is_down = False
+    deployed.world.run(8)
+
+    assert check_reports(deployed)
+
+
+def test_workers_are_ordered_for_each_data_centre(deployed):
+    ask_for(deployed, 3)
+
+    ordered = {
+        (order['zone'], order.get('spot', False))
+        for _, order in deployed.cloud.orders
+    }
+    assert ('z1', True) in ordered
+    assert ('z2', True) in ordered
+
+
+class Clocks:
+    def __init__(self):
+        self.at = 50.0
+        self.jump = 0.0
+
+    def boot(self):
+        return self.at
+
+    def wall(self):
+        return virtual.EPOCH + self.at + self.jump
+
+
+def test_a_jump_of_the_clock_does_not_move_windows():
+    clocks = Clocks()
+    steady = clock.SteadyClock(clocks)
+    clocks.jump = 2.0
+    clocks.at += 10
+
+    assert steady.now() == pytest.approx(virtual.EPOCH + 60)
+
+
+def test_a_start_during_a_jump_is_corrected_by_peers():
+    clocks = Clocks()
+    clocks.jump = -2.0
+    steady = clock.SteadyClock(clocks)
+    for name in ('one', 'two', 'three'):
+        steady.note_peer(name, virtual.EPOCH + 50.01)
+
+    assert steady.now() == pytest.approx(virtual.EPOCH + 50.01)
+
+
+def test_counts_of_a_restarted_peer_add_up():
+    ledger = usage.UsageLedger(5.0)
+    ledger.note('org', 1000.0)
+    ledger.take_report('peer', 1, {'200': {'org': 3}})
+    ledger.take_report('peer', 2, {'200': {'org': 2}})
+    ledger.take_report('peer', 2, {'200': {'org': 2}})
+
+    assert ledger.sum_up(200) == {'org': 6}
--- /dev/null
+++ b/tests/gateway/test_stopping.py
@@ -0,0 +1,106 @@
+"""A planned stop cuts off no request and leaves the directory at once."""
+
+import json
+
+import pytest
+
+from citronjunction.transport import http_client
+from tests.support import platform_system
+
+
+@pytest.fixture
+def deployed():
+    return platform_system.PlatformSystem().build(gateways=2)
+
+
+def get(deployed, gateway, listener, path):
+    answer = platform_system.Answer(deployed.world)
+    address = getattr(deployed.gateways[gateway].settings.listeners, listener)
+    call = http_client.Call(address, 'GET', path)
+    deployed.caller_host.client.send(call, answer)
+    deployed.world.run(0.1)
+    return answer
+
+
+def list_entries(deployed, gateway='gateway-0'):
+    path = '/api/resolve?name=x.example&region=r&zone=z1'
+    answer = get(deployed, gateway, 'directory', path)
+    return json.loads(answer.body)['addrs']
+
+
+def test_the_directory_lists_all_ready_entries(deployed):
+    expected = {
+        held.settings.listeners.front for held in deployed.gateways.values()
+    }
+
+    assert set(list_entries(deployed)) == expected
+    assert get(deployed, 'gateway-0', 'readiness', '/api/readyz').status == 200
+
+
+def test_a_stopping_entry_leaves_the_directory_and_is_not_ready(deployed):
+    held = deployed.gateways['gateway-1']
+    deployed.gateway_hosts['gateway-1'].on_stop()
+    deployed.world.run(0.4)
+
+    front = held.settings.listeners.front
+    assert front not in list_entries(deployed)
+    assert front not in list_entries(deployed, 'gateway-1')
+    assert get(deployed, 'gateway-1', 'readiness', '/api/readyz').status == 503
+
+
+def test_requests_of_the_first_seconds_are_still_served(deployed):
+    deployed.gateway_hosts['gateway-1'].on_stop()
+    deployed.world.run(1)
+    answer = deployed.ask('/unsafe/x', gateway='gateway-1', method='POST')
+
+    assert answer.status == 200
+    assert answer.headers['connection'] == 'close'
+
+
+def test_a_running_stream_ends_whole_before_the_process(deployed):
+    for held in deployed.workers.values():
+        held.behaviour.events = 40
+        held.behaviour.gap_s = 0.1
+    answer = deployed.send('/stream/x', gateway='gateway-1', deadline_ms=9000)
+    deployed.gateways['gateway-1'].acting.routes.hosts['x.example']
+    deployed.world.run(0.5)
+    deployed.gateway_hosts['gateway-1'].on_stop()
+    deployed.world.run(2)
+    assert deployed.gateway_hosts['gateway-1'].is_alive
+    deployed.world.run(6)
+
+    assert not deployed.gateway_hosts['gateway-1'].is_alive
+    assert answer.body.count(b'\n\n') >= 15
+
+
+def test_late_requests_are_refused_as_not_run(deployed):
+    for held in deployed.workers.values():
+        held.behaviour.is_mute = True
+    deployed.send('/stream/x', gateway='gateway-1', deadline_ms=9000)
+    deployed.gateway_hosts['gateway-1'].on_stop()
+    deployed.world.run(3)
+    before = deployed.count_runs()
+    answer = deployed.ask(
+        '/unsafe/x', gateway='gateway-1', method='POST', run_s=0.2
+    )
+
+    assert answer.status in {503, 0}
+    assert deployed.count_runs() == before
+
+
+def test_an_idle_entry_ends_soon(deployed):
+    deployed.gateway_hosts['gateway-1'].on_stop()
+    deployed.world.run(3.5)
+
+    assert not deployed.gateway_hosts['gateway-1'].is_alive
+
+
+def test_an_entry_without_configuration_refuses_and_is_not_listed():
+    deployed = platform_system.PlatformSystem()
+    deployed.add_gateway('gateway-0')
+    deployed.world.run(2)
+
+    answer = deployed.ask('/unsafe/x', method='POST', run_s=0.2)
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) > 0
+    assert list_entries(deployed) == []
--- /dev/null
+++ b/tests/observability/test_output.py
@@ -0,0 +1,72 @@
+"""Log lines never block, and lost ones are counted."""
+
+import json
+import os
+
+import pytest
+
+from citronjunction.observability import output
+
+
+@pytest.fixture
+def pipe():
+    reading, writing = os.pipe()
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def read_bytes(reading):
+    os.set_blocking(reading, False)
+    held = b''
+    while True:
+        try:
+            part = os.read(reading, 1 << 16)
+        except BlockingIOError:
+            break
+        held += part
+    return held
+
+
+def read_lines(reading):
+    return read_bytes(reading).decode().splitlines()
+
+
+def test_lines_are_written_at_once(pipe):
+    reading, writing = pipe
+    writer = output.LineWriter(writing)
+    writer.write('{"a": 1}')
+
+    assert read_lines(reading) == ['{"a": 1}']
+
+
+def test_a_reader_that_stops_costs_lines_and_not_time(pipe):
+    reading, writing = pipe
+    writer = output.LineWriter(writing)
+    line = json.dumps({'text': 'x' * 500})
+    for _ in range(2000):
+        writer.write(line)
+
+    assert writer.dropped > 0
+    assert len(writer.pending) <= output.MAX_PENDING
+    dropped = writer.dropped
+    kept = read_bytes(reading)
+    while writer.pending:
+        writer.flush()
+        kept += read_bytes(reading)
+    writer.write(line)
+    kept += read_bytes(reading)
+    kept = kept.decode().splitlines()
+    notes = [json.loads(held) for held in kept if 'dropped' in held]
+    assert notes == [{'decision': 'log', 'dropped': dropped}]
+    assert len(kept) - 1 + dropped == 2001
+
+
+def test_a_closed_reader_is_no_error(pipe):
+    reading, writing = pipe
+    writer = output.LineWriter(writing)
+    os.close(reading)
+    writer.write('lost')
+    os.dup2(writing, reading)
+
+    assert not writer.pending
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -1,7 +1,9 @@
 """HTTP client: verdicts follow from how far a request came."""
 
 import socket
+import struct
 import threading
+import time
 
 import pytest
 
@@ -94,3 +96,63 @@
         count = len(loop.sockets.connections)
     assert [reply.body for reply in replies] == [b'/px'] * 3
     assert count == 1
+
+
+ECHO = http_client.Echo('x-call', 'own')
+OWN = b'HTTP/1.1 200 OK\r\nX-Call: own\r\nContent-Length: 3\r\n\r\nown'
+OTHER = b'HTTP/1.1 200 OK\r\nX-Call: other\r\nContent-Length: 5\r\n\r\nother'
+BARE = b'HTTP/1.1 200 OK\r\n\r\nbody'
+
+
+@pytest.mark.parametrize('wire', [OTHER + OWN, OWN + OTHER, OTHER * 3 + OWN])
+def test_an_answer_to_another_call_is_dropped(loop, listener, wire):
+    port = answer_with(listener, wire)
+    reply = send(loop, port, echo=ECHO)
+    assert reply.body == b'own'
+
+
+def test_a_connection_with_surplus_bytes_is_not_used_again(loop, listener):
+    port = answer_with(listener, OWN + OTHER)
+    send(loop, port, echo=ECHO)
+    assert not any(loop.client.idle.values())
+
+
+def test_only_an_answer_to_another_call_is_a_failure(loop, listener):
+    port = answer_with(listener, OTHER)
+    failure = send(loop, port, echo=ECHO)
+    assert isinstance(failure, verdicts.MayHaveRun)
+
+
+def test_an_answer_without_length_ends_with_its_connection(loop, listener):
+    port = answer_with(listener, BARE)
+    assert send(loop, port).body == b'body'
+
+
+def test_an_answer_without_length_that_is_reset_is_not_whole(loop, listener):
+    reset = struct.pack('ii', 1, 0)
+
+    def serve():
+        sock, _ = listener.accept()
+        sock.recv(65536)
+        sock.sendall(BARE)
+        time.sleep(0.2)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        sock.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    failure = send(loop, listener.getsockname()[1])
+    assert isinstance(failure, verdicts.MayHaveRun)
+
+
+@pytest.mark.parametrize(
+    ('stated', 'expected'),
+    [
+        ('', http_client.MAX_IDLE_S),
+        ('timeout=10', 7.0),
+        ('timeout=1, max=5', 0.7),
+        ('max=5', http_client.MAX_IDLE_S),
+    ],
+)
+def test_the_idle_time_that_a_server_states_is_kept_to(stated, expected):
+    headers = {'keep-alive': stated}
+    assert http_client.get_idle_s(headers) == pytest.approx(expected)
