--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -4,11 +4,12 @@
 from citronjunction.gateway import (
     attempt,
     choosing,
-    counting,
     evidence,
+    judging,
     models,
     outlet,
     quotas,
+    recording,
     services,
 )
 from citronjunction.transport import deadlines, front
@@ -33,6 +34,8 @@
         'cost',
         'deadline',
         'deadline_at',
+        'expected_s',
+        'first_s',
         'fingerprint',
         'is_begun',
         'is_over',
@@ -78,6 +81,8 @@
         self.cost: float = 0
         self.last_event = request.last_event
         self.upstream = ''
+        self.expected_s: float | None = None
+        self.first_s: float | None = None
         self.is_trial = False
         self.is_begun = False
         self.is_over = False
@@ -118,6 +123,8 @@
         """Start to relay a successful answer, or go on with one."""
         self._note_begun()
         self._release_prompt(source)
+        if self.first_s is None:
+            self.first_s = self.acting.timers.now() - source.sent_at
         self.outlet.start(answer)
         self.on_part(source, part)
 
@@ -162,7 +169,9 @@
     ) -> None:
         """Try again, go on elsewhere, or give up."""
         self._close_attempt(source, is_good=None)
-        self._note_worker(source, failed)
+        judging.note_failure(self.acting, source.worker, failed)
+        if failed.code == 'connection_lost':
+            self.acting.on_suspect(self.fingerprint, source.worker.entry.name)
         if failed.evidence is evidence.Evidence.may_have_run:
             self._note_begun()
         self.run.note(failed)
@@ -187,7 +196,10 @@
         if over is None:
             self.cost = cost
             return None
-        text = f'{self.organisation.name} is over its quota'
+        text = (
+            f'{self.organisation.name} used {over.used:.0f} of {over.limit:.0f}'
+            f' and asks for {cost:.0f} more'
+        )
         return verdicts.NotRun(text, over.wait_s, OVER_QUOTA, 'over_quota')
 
     def _draw_upstream(self) -> str:
@@ -222,13 +234,41 @@
                 ),
             )
             return
+        shed = self._shed(found)
+        if shed is not None:
+            self._finish(shed)
+            return
         self._send(found, now)
 
+    def _shed(self, found: choosing.Candidate) -> verdicts.NotRun | None:
+        if self.run.dials or self.request.prompt is None:
+            return None
+        shed = self.acting.shedder.judge(
+            self.upstream,
+            self._get_rank(),
+            found.queue_s,
+        )
+        if shed is None:
+            return None
+        text = (
+            f'prompts wait {shed.queue_s:.2f} s at the best worker of'
+            f' {self.upstream}, over {shed.limit_s:.2f} s'
+        )
+        delay_s = shed.retry_after_s * (0.5 + self.acting.random.random())
+        return verdicts.NotRun(text, delay_s, code='overloaded')
+
+    def _get_rank(self) -> int:
+        organisation = self.organisation
+        if organisation is not None and organisation.rank is not None:
+            return organisation.rank
+        return self.route.rank
+
     def _allows(self, worker: object) -> bool:
         return self.acting.rollouts.allows(worker, is_trial=self.is_trial)
 
     def _send(self, found: choosing.Candidate, now: float) -> None:
         worker = found.worker
+        self.expected_s = found.wait_s
         self.tried.append(worker)
         self.run.sends += 1
         self.run.dials += 1
@@ -242,7 +282,7 @@
         self.attempt = made
         worker.running += 1
         if self.request.prompt is not None:
-            made.unread = self.request.prompt.prompt_tokens
+            made.unread = found.unread_tokens
             worker.unread_tokens += made.unread
         call = self.acting.codec.encode_call(
             self.request,
@@ -252,9 +292,6 @@
 
     def _assign(self, worker: object, now: float) -> models.Assignment:
         organisation = self.organisation
-        rank = self.route.rank
-        if organisation and organisation.rank is not None:
-            rank = organisation.rank
         is_prompt = self.request.prompt is not None
         max_idle_s = LONG_IDLE_S if self.route.is_idempotent else FRESH_IDLE_S
         return models.Assignment(
@@ -262,7 +299,7 @@
             worker.entry.address,
             max(MIN_TIME_LEFT_S, self.deadline_at - now),
             organisation.name if organisation else '',
-            min(MAX_PRIORITY, rank) if is_prompt else None,
+            min(MAX_PRIORITY, self._get_rank()) if is_prompt else None,
             self.last_event,
             CONNECT_S,
             max_idle_s,
@@ -279,7 +316,7 @@
                 budget = self.acting.get_budget(self.upstream)
                 if is_retry and not budget.spend(self.acting.entries, now):
                     return False
-                self._log_retry(failed)
+                recording.record_retry(self, failed)
                 self._try_worker()
                 return True
         return False
@@ -330,38 +367,9 @@
         self._release_prompt(source)
         source.worker.running -= 1
         if is_good is not None:
-            self._judge(source, is_good=is_good)
-
-    def _judge(self, source: attempt.Attempt, *, is_good: bool) -> None:
-        worker = source.worker
-        self.acting.rollouts.record(worker, is_good=is_good)
+            judging.note_answer(self.acting, source.worker, is_good=is_good)
         if is_good:
-            worker.health.record_success()
             self.acting.suspects.clear(self.fingerprint)
-        elif worker.health.record_failure(self.acting.timers.now()):
-            self._log_ejection(worker, 'errors')
-
-    def _note_worker(
-        self,
-        source: attempt.Attempt,
-        failed: evidence.Failed,
-    ) -> None:
-        worker = source.worker
-        now = self.acting.timers.now()
-        match failed.evidence:
-            case evidence.Evidence.not_sent:
-                worker.health.record_unreachable(now)
-                self.acting.client.drop_idle(worker.entry.address)
-                self._log_ejection(worker, failed.reason)
-            case evidence.Evidence.may_have_run:
-                if worker.health.record_failure(now):
-                    self._log_ejection(worker, failed.reason)
-                if failed.code == 'connection_lost':
-                    self.acting.on_suspect(self.fingerprint, worker.entry.name)
-            case evidence.Evidence.refused:
-                if failed.code == 'misdirected':
-                    self.acting.fleet.remove(worker)
-                    self._log_ejection(worker, failed.reason)
 
     def _release_prompt(self, source: attempt.Attempt) -> None:
         source.worker.unread_tokens -= source.unread
@@ -375,7 +383,8 @@
 
     def _refund(self) -> None:
         if self.organisation is not None and self.cost:
-            self.acting.quotas.refund(self.organisation, self.cost)
+            now = self.acting.timers.now()
+            self.acting.quotas.refund(self.organisation, self.cost, now)
             self.cost = 0
 
     def _close(self, outcome: str, status: int, reason: str = '') -> None:
@@ -385,42 +394,4 @@
         self.deadline.cancel()
         self.acting.flows.discard(self)
         self.outlet.exchange.on_gone = None
-        now = self.acting.timers.now()
-        held_s = now - self.request.arrived_at
-        self.acting.counts.record(
-            counting.Ended(outcome, self.route.kind.value, held_s),
-        )
-        self.acting.log.write(
-            'end',
-            self.request.name,
-            outcome=outcome,
-            status=status,
-            reason=reason,
-            route=self.route.name,
-            organisation=self.organisation.name if self.organisation else '',
-            workers=[worker.entry.name for worker in self.tried],
-            sends=self.run.sends,
-            is_started=self.outlet.is_started,
-            held_ms=round(held_s * 1000),
-            configuration=self.acting.configuration.version,
-        )
-
-    def _log_retry(self, failed: evidence.Failed) -> None:
-        self.acting.counts.record(counting.Retried(failed.evidence.value))
-        self.acting.log.write(
-            'retry',
-            self.request.name,
-            evidence=failed.evidence.value,
-            reason=failed.reason,
-            sends=self.run.sends,
-            last_event=self.last_event,
-        )
-
-    def _log_ejection(self, worker: object, reason: str) -> None:
-        self.acting.log.write(
-            'eject',
-            worker.entry.name,
-            upstream=worker.entry.upstream,
-            reason=reason,
-            until_s=round(worker.health.ejected_until, 3),
-        )
+        recording.record_end(self, outcome, status, reason)
