Count queued prompts by urgency and refuse what would start too late

Cause: workers read urgent prompts first, so less urgent ones waited far longer than expected under overload (0.2 to 0.5 s expected, over 2 s actual) and kept places without an answer. Change: entries tell unread tokens by urgency; a request's queue is what is at least as urgent, and it is refused at once with a time to return when that exceeds 0.8 of its target latency. Retries divide by the entries that may be serving.

--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -57,6 +57,7 @@
         self,
         upstream: str,
         prompt: models.Prompt | None,
+        urgency: int,
         tried: abc.Collection[fleet.Worker],
         now: float,
         allows: abc.Callable[[fleet.Worker], bool],
@@ -67,7 +68,7 @@
             return None
         if prompt is None:
             return self._choose_plain(usable, now)
-        return self._choose_for_prompt(usable, prompt, now)
+        return self._choose_for_prompt(usable, prompt, urgency, now)
 
     def _select(
         self,
@@ -113,6 +114,7 @@
         self,
         usable: list[fleet.Worker],
         prompt: models.Prompt,
+        urgency: int,
         now: float,
     ) -> Candidate:
         ranked = rank_affine(prompt.affinity_key, usable)
@@ -120,7 +122,8 @@
         best = None
         best_cost_s = math.inf
         for order, worker in enumerate(ranked):
-            wait_s = self._estimate_wait(worker, prompt, now)
+            queue_s = worker.count_unread(urgency) / PREFILL_TOKENS_PER_S
+            wait_s = queue_s + self._estimate_own(worker, prompt, now)
             cost_s = wait_s
             unread = prompt.prompt_tokens
             if order < 2:
@@ -133,20 +136,19 @@
             if worker.entry.zone != self.zone:
                 cost_s += MISSED_ZONE_S
             if cost_s < best_cost_s:
-                queue_s = worker.total_unread / PREFILL_TOKENS_PER_S
                 best = Candidate(worker, wait_s, queue_s, unread)
                 best_cost_s = cost_s
         return best
 
-    def _estimate_wait(
+    def _estimate_own(
         self,
         worker: fleet.Worker,
         prompt: models.Prompt,
         now: float,
     ) -> float:
-        """Return the wait at a worker that caches the shared parts."""
+        """Return the time for a prompt whose shared parts are cached."""
         unread = max(0, prompt.prompt_tokens - prompt.shared_tokens)
-        wait_s = (worker.total_unread + unread) / PREFILL_TOKENS_PER_S
+        wait_s = unread / PREFILL_TOKENS_PER_S
         wait_s += ATTENTION_S * unread * (prompt.prompt_tokens - unread / 2)
         wait_s += worker.total_running * DECODE_SLOWDOWN_S
         return wait_s + self._get_penalty_s(worker, now)
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -9,21 +9,33 @@
 RETURN_S = 2.2  # time that lapsed entries have to return after an outage
 
 
+URGENCIES = 3  # groups of ranks: the most urgent, the second, all others
+
+
+def get_urgency(rank: int) -> int:
+    """Return the group of a rank; group 0 is the most urgent."""
+    return max(0, min(rank, URGENCIES - 1))
+
+
+def _start_unread() -> list[int]:
+    return [0 for _ in range(URGENCIES)]
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Worker:
     """Hold a worker; times are monotonic seconds.
 
-    ``running`` and ``unread_tokens`` count this entry's requests there, the
-    latter their prompt tokens before the first event. ``peer_running`` and
-    ``peer_unread_tokens`` are what the other entries told last.
+    ``running`` counts this entry's requests there, ``unread`` their prompt
+    tokens before the first event by urgency. ``peer_running`` and
+    ``peer_unread`` are what the other entries told last.
     """
 
     entry: models.WorkerEntry
     health: health.Health
     running: int = 0
-    unread_tokens: int = 0
+    unread: list[int] = dataclasses.field(default_factory=_start_unread)
     peer_running: int = 0
-    peer_unread_tokens: int = 0
+    peer_unread: list[int] = dataclasses.field(default_factory=_start_unread)
     is_retired: bool = False
     is_absent: bool = False
     leaves_at: float | None = None
@@ -41,10 +53,10 @@
         """Return the requests of all entries there."""
         return self.running + self.peer_running
 
-    @property
-    def total_unread(self) -> int:
-        """Return the prompt tokens that all entries wait for there."""
-        return self.unread_tokens + self.peer_unread_tokens
+    def count_unread(self, urgency: int) -> int:
+        """Return the prompt tokens that are read before such a request's."""
+        own = sum(self.unread[: urgency + 1])
+        return own + sum(self.peer_unread[: urgency + 1])
 
 
 class Fleet:
@@ -95,23 +107,25 @@
 
     def take_peer_loads(
         self,
-        loads: abc.Iterable[abc.Mapping[str, tuple[int, int]]],
+        loads: abc.Iterable[abc.Mapping[str, tuple[int, ...]]],
     ) -> None:
         """Replace what the other entries told of their requests."""
         running: dict[str, int] = {}
-        unread: dict[str, int] = {}
+        unread: dict[str, list[int]] = {}
         for load in loads:
-            for name, (requests, tokens) in load.items():
+            for name, (requests, *tokens) in load.items():
                 running[name] = running.get(name, 0) + requests
-                unread[name] = unread.get(name, 0) + tokens
+                known = unread.setdefault(name, _start_unread())
+                for urgency, count in enumerate(tokens[:URGENCIES]):
+                    known[urgency] += count
         for name, worker in self.workers.items():
             worker.peer_running = running.get(name, 0)
-            worker.peer_unread_tokens = unread.get(name, 0)
+            worker.peer_unread = unread.get(name) or _start_unread()
 
-    def measure_load(self) -> dict[str, tuple[int, int]]:
+    def measure_load(self) -> dict[str, tuple[int, ...]]:
         """Return this entry's requests by worker."""
         return {
-            name: (worker.running, worker.unread_tokens)
+            name: (worker.running, *worker.unread)
             for name, worker in self.workers.items()
             if worker.running
         }
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -5,12 +5,14 @@
     attempt,
     choosing,
     evidence,
+    fleet,
     judging,
     models,
     outlet,
     quotas,
     recording,
     services,
+    shedding,
 )
 from citronjunction.transport import deadlines, front
 from citronjunction.verdicts import models as verdicts
@@ -216,6 +218,7 @@
         found = acting.chooser.choose(
             self.upstream,
             self.request.prompt,
+            fleet.get_urgency(self._get_rank()),
             self.tried,
             now,
             self._allows,
@@ -243,11 +246,7 @@
     def _shed(self, found: choosing.Candidate) -> verdicts.NotRun | None:
         if self.run.dials or self.request.prompt is None:
             return None
-        shed = self.acting.shedder.judge(
-            self.upstream,
-            self._get_rank(),
-            found.queue_s,
-        )
+        shed = shedding.judge(self.route.aim_s, found.queue_s)
         if shed is None:
             return None
         text = (
@@ -283,7 +282,8 @@
         worker.running += 1
         if self.request.prompt is not None:
             made.unread = found.unread_tokens
-            worker.unread_tokens += made.unread
+            urgency = fleet.get_urgency(self._get_rank())
+            worker.unread[urgency] += made.unread
         call = self.acting.codec.encode_call(
             self.request,
             self._assign(worker, now),
@@ -314,7 +314,8 @@
         match evidence.decide(self.run, failed, RETRY_AFTER_S):
             case evidence.SendAgain(is_retry=is_retry):
                 budget = self.acting.get_budget(self.upstream)
-                if is_retry and not budget.spend(self.acting.entries, now):
+                entries = self.acting.quotas.count_entries()
+                if is_retry and not budget.spend(entries, now):
                     return False
                 recording.record_retry(self, failed)
                 self._try_worker()
@@ -372,7 +373,8 @@
             self.acting.suspects.clear(self.fingerprint)
 
     def _release_prompt(self, source: attempt.Attempt) -> None:
-        source.worker.unread_tokens -= source.unread
+        urgency = fleet.get_urgency(self._get_rank())
+        source.worker.unread[urgency] -= source.unread
         source.unread = 0
 
     def _note_begun(self) -> None:
--- a/citronjunction/gateway/services.py
+++ b/citronjunction/gateway/services.py
@@ -16,7 +16,6 @@
     ports,
     quotas,
     rollouts,
-    shedding,
 )
 from citronjunction.observability import decisions
 from citronjunction.transport import deadlines, http_client
@@ -40,9 +39,6 @@
     counts: counting.Counts
     on_begun: abc.Callable[[str], None]
     on_suspect: abc.Callable[[int, str], None]
-    shedder: shedding.Shedder = dataclasses.field(
-        default_factory=shedding.Shedder,
-    )
     configuration: models.Configuration | None = None
     routes: matching.RouteTable = dataclasses.field(
         default_factory=lambda: matching.RouteTable(()),
@@ -52,7 +48,6 @@
     )
     offered: dict[str, float] = dataclasses.field(default_factory=dict)
     flows: set[object] = dataclasses.field(default_factory=set)
-    entries: int = 1
     is_leaving: bool = False
 
     def get_budget(self, upstream: str) -> budgets.RetryBudget:
@@ -72,4 +67,3 @@
         """Put a configuration in force."""
         self.configuration = configuration
         self.routes = matching.RouteTable(configuration.routes)
-        self.shedder.apply(configuration)
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -42,8 +42,8 @@
 class LoadState:
     """Tell what an entry does at workers and what organisations used.
 
-    ``running`` holds requests and unread prompt tokens by worker, ``used``
-    quota units by organisation and ``offered`` prompt tokens by upstream,
+    ``running`` holds by worker its requests, then the unread prompt tokens of
+    each urgency. ``used`` holds quota units by organisation and ``offered`` prompt tokens by upstream,
     both since the start of the incarnation. ``windows`` holds requests begun
     by usage window and organisation.
     """
@@ -51,7 +51,7 @@
     name: Text
     incarnation: int
     sequence: int
-    running: dict[str, tuple[int, int]] = dataclasses.field(
+    running: dict[str, tuple[int, ...]] = dataclasses.field(
         default_factory=dict,
     )
     used: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/tests/gateway/test_choosing.py
+++ b/tests/gateway/test_choosing.py
@@ -1,55 +1,27 @@
 """Where prompts and plain requests go, pattern by pattern."""
 
 import collections
-import random
 
 import pytest
 
-from citronjunction.gateway import choosing, fleet, models
+from citronjunction.gateway import choosing
+from tests.gateway import patterns
 
-NOW = 50.0
 ALL = 1000  # requests of a pattern
 
 
-def build(count=8, upstream='llm', zone='z1'):
-    held = fleet.Fleet()
-    for number in range(count):
-        entry = models.WorkerEntry(
-            f'w{number}',
-            upstream,
-            f'10.0.0.{number}:80',
-            zone if number % 2 else 'z2',
-            'v1',
-            6,
-            models.WorkerState.ready,
-            False,
-            1,
-            0,
-            None,
-        )
-        held.register(entry, NOW)
-    return held, choosing.Chooser(held, 'z1', random.Random(3))
-
-
-def prompt(part='p1', shared=5000, own=6000):
-    parts = (
-        models.PromptPart('common', 500),
-        models.PromptPart(part, shared - 500),
-        models.PromptPart('own', own),
-    )
-    return models.Prompt('m', shared + own, 400, parts)
-
-
 def choose(chooser, wanted, tried=()):
-    return chooser.choose('llm', wanted, tried, NOW, lambda worker: True)
+    return chooser.choose(
+        'llm', wanted, 1, tried, patterns.NOW, lambda worker: True
+    )
 
 
 def test_prompts_that_share_a_part_meet_at_one_worker():
-    _, chooser = build()
-    other = build()[1]
+    _, chooser = patterns.build()
+    other = patterns.build()[1]
 
     names = {
-        choose(held, prompt()).worker.entry.name
+        choose(held, patterns.prompt()).worker.entry.name
         for held in (chooser, other)
         for _ in range(10)
     }
@@ -58,10 +30,10 @@
 
 
 def test_different_parts_spread_over_all_workers():
-    _, chooser = build()
+    _, chooser = patterns.build()
 
     counts = collections.Counter(
-        choose(chooser, prompt(f'p{number}')).worker.entry.name
+        choose(chooser, patterns.prompt(f'p{number}')).worker.entry.name
         for number in range(ALL)
     )
 
@@ -70,11 +42,11 @@
 
 
 def test_a_hot_part_spreads_to_its_second_worker_before_others():
-    held, chooser = build()
+    held, chooser = patterns.build()
     counts = collections.Counter()
     for _ in range(4):
-        found = choose(chooser, prompt())
-        found.worker.unread_tokens += found.unread_tokens
+        found = choose(chooser, patterns.prompt())
+        found.worker.unread[1] += found.unread_tokens
         counts[found.worker.entry.name] += 1
 
     affine = choosing.rank_affine('p1', held.select('llm'))
@@ -83,25 +55,25 @@
 
 
 def test_a_busy_worker_loses_a_prompt_that_shares_little():
-    held, chooser = build()
-    small = prompt(shared=200 + 500, own=600)
+    held, chooser = patterns.build()
+    small = patterns.prompt(shared=200 + 500, own=600)
     first = choose(chooser, small).worker
-    first.unread_tokens = 60_000
+    first.unread[1] = 60_000
 
     assert choose(chooser, small).worker is not first
 
 
 def test_what_other_entries_wait_for_counts():
-    held, chooser = build()
-    first = choose(chooser, prompt()).worker
-    held.take_peer_loads([{first.entry.name: (4, 120_000)}])
+    held, chooser = patterns.build()
+    first = choose(chooser, patterns.prompt()).worker
+    held.take_peer_loads([{first.entry.name: (4, 0, 120_000, 0)}])
 
-    assert choose(chooser, prompt()).worker is not first
+    assert choose(chooser, patterns.prompt()).worker is not first
 
 
-@pytest.mark.parametrize('wanted', [prompt(), None])
+@pytest.mark.parametrize('wanted', [patterns.prompt(), None])
 def test_draining_and_tried_workers_are_left_out(wanted):
-    held, chooser = build(count=3)
+    held, chooser = patterns.build(count=3)
     tried = held.workers['w0']
     held.remove(held.workers['w1'])
 
@@ -114,9 +86,9 @@
 
 
 def test_an_ejected_worker_rests():
-    held, chooser = build(count=4)
+    held, chooser = patterns.build(count=4)
     for _ in range(3):
-        held.workers['w1'].health.record_failure(NOW)
+        held.workers['w1'].health.record_failure(patterns.NOW)
 
     names = {choose(chooser, None).worker.entry.name for _ in range(50)}
 
@@ -125,9 +97,9 @@
 
 
 def test_a_common_cause_does_not_eject_the_fleet():
-    held, chooser = build(count=4)
+    held, chooser = patterns.build(count=4)
     for worker in held.workers.values():
-        worker.health.record_unreachable(NOW)
+        worker.health.record_unreachable(patterns.NOW)
 
     names = {choose(chooser, None).worker.entry.name for _ in range(50)}
 
@@ -135,7 +107,7 @@
 
 
 def test_plain_requests_go_to_the_least_busy_worker():
-    held, chooser = build(count=4)
+    held, chooser = patterns.build(count=4)
     for name, running in (('w0', 3), ('w1', 2), ('w2', 5)):
         held.workers[name].running = running
 
@@ -143,7 +115,7 @@
 
 
 def test_a_worker_whose_entry_vanished_is_the_last_choice():
-    held, chooser = build(count=2)
+    held, chooser = patterns.build(count=2)
     held.mark_absent('w1')
     held.workers['w0'].running = 5
 
