--- /dev/null
+++ b/citronjunction/duties/moving.py
@@ -0,0 +1,71 @@
+"""Reports how far rollouts are, under the lease."""
+
+from collections import abc
+
+from citronjunction.duties import models
+from citronjunction.gateway import models as gateway
+from citronjunction.gateway import services, watching
+from citronjunction.store import records
+
+
+class RolloutReporter:
+    """Write the state of rollouts to the store."""
+
+    __slots__ = ('acting', 'busy', 'store', 'watcher')
+
+    def __init__(
+        self,
+        acting: services.Services,
+        store: records.Store,
+        watcher: watching.Watcher,
+    ) -> None:
+        """Take the rollouts, and the store with its mirror."""
+        self.acting = acting
+        self.store = store
+        self.watcher = watcher
+        self.busy: set[str] = set()
+
+    def step(self, get_fence: abc.Callable[[], models.Fence | None]) -> None:
+        """Write the states that are due."""
+        now = self.acting.timers.now()
+        for upstream in self.acting.rollouts.held:
+            state = self.acting.rollouts.decide(upstream, now)
+            if state is not None and upstream not in self.busy and get_fence():
+                self._write(upstream, state)
+
+    def _write(self, upstream: str, state: gateway.RolloutState) -> None:
+        decoder = self.watcher.decoder
+        kind = decoder.rollout_kind
+        mirror = self.watcher.mirrors[kind]
+        record = mirror.held.get(upstream)
+        if record is None:
+            return
+        trial = self.acting.rollouts.held[upstream]
+        target = trial.rollout.target
+        self.busy.add(upstream)
+        self.acting.log.write(
+            'report rollout',
+            upstream,
+            target=target,
+            state=state.value,
+            reason=trial.withdrawn,
+        )
+        self.store.replace_status(
+            kind,
+            upstream,
+            decoder.encode_rollout_status(target, state),
+            record.revision,
+            lambda result: self._on_written(upstream, result),
+        )
+
+    def _on_written(self, upstream: str, result: records.WriteResult) -> None:
+        self.busy.discard(upstream)
+        match result:
+            case records.Record():
+                pass
+            case _:
+                self.acting.log.write(
+                    'rollout not reported',
+                    upstream,
+                    result=type(result).__name__,
+                )
--- /dev/null
+++ b/citronjunction/gateway/admitting.py
@@ -0,0 +1,39 @@
+"""Refusals of requests before any worker is asked."""
+
+from citronjunction.gateway import choosing, models, services, shedding
+from citronjunction.verdicts import models as verdicts
+
+OVER_QUOTA = 429  # HTTP status
+
+
+def charge(
+    acting: services.Services,
+    organisation: models.Organisation,
+    cost: float,
+) -> verdicts.NotRun | None:
+    """Charge a request to its organisation's quota, or refuse it."""
+    over = acting.quotas.admit(organisation, cost, acting.timers.now())
+    if over is None:
+        return None
+    text = (
+        f'{organisation.name} used {over.used:.0f} of {over.limit:.0f}'
+        f' and asks for {cost:.0f} more'
+    )
+    return verdicts.NotRun(text, over.wait_s, OVER_QUOTA, 'over_quota')
+
+
+def shed(
+    acting: services.Services,
+    route: models.Route,
+    found: choosing.Candidate,
+) -> verdicts.NotRun | None:
+    """Refuse a prompt that would wait too long for others' prompts."""
+    late = shedding.judge(route.aim_s, found.queue_s)
+    if late is None:
+        return None
+    text = (
+        f'prompts wait {late.queue_s:.2f} s at the best worker of'
+        f' {found.worker.entry.upstream}, over {late.limit_s:.2f} s'
+    )
+    delay_s = late.retry_after_s * (0.5 + acting.random.random())
+    return verdicts.NotRun(text, delay_s, code='overloaded')
--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -55,6 +55,7 @@
         'is_started',
         'is_stream',
         'owner',
+        'read',
         'reader',
         'sent_at',
         'unread',
@@ -83,6 +84,7 @@
         self.sent_at = clock.now()
         self.first_at: float | None = None
         self.unread = 0
+        self.read = 0
         self.is_started = False
         self.is_over = False
 
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -2,6 +2,7 @@
 
 from citronjunction.attempts import suspects
 from citronjunction.gateway import (
+    admitting,
     attempt,
     choosing,
     evidence,
@@ -11,8 +12,8 @@
     outlet,
     quotas,
     recording,
+    rollouts,
     services,
-    shedding,
 )
 from citronjunction.transport import deadlines, front
 from citronjunction.verdicts import models as verdicts
@@ -22,7 +23,6 @@
 LONG_IDLE_S = 8.0
 RETRY_AFTER_S = 0.3  # a full worker frees a slot within a few answers
 GATEWAY_TIMEOUT = 504  # HTTP status
-OVER_QUOTA = 429  # HTTP status
 MAX_PRIORITY = 9  # least urgent
 MIN_TIME_LEFT_S = 0.02  # shorter than any answer takes
 
@@ -104,12 +104,15 @@
             delay_s = acting.settings.attempts.suspect_s
             self._finish(verdicts.NotRun(text, delay_s, code='suspect_request'))
             return
-        over = self._charge(now)
-        if over is not None:
-            self._finish(over)
-            return
+        if self.organisation is not None:
+            cost = quotas.compute_cost(self.organisation, self.request.prompt)
+            over = admitting.charge(acting, self.organisation, cost)
+            if over is not None:
+                self._finish(over)
+                return
+            self.cost = cost
         self.upstream = self._draw_upstream()
-        self.is_trial = acting.rollouts.draws_trial(self.upstream)
+        self.is_trial = acting.rollouts.draws_trial(self.upstream, now)
         acting.get_budget(self.upstream).record_request(now)
         tokens = self.request.prompt.prompt_tokens if self.request.prompt else 1
         offered = acting.offered
@@ -171,7 +174,12 @@
     ) -> None:
         """Try again, go on elsewhere, or give up."""
         self._close_attempt(source, is_good=None)
-        judging.note_failure(self.acting, source.worker, failed)
+        judging.note_failure(
+            self.acting,
+            source.worker,
+            self._name_route(source),
+            failed,
+        )
         if failed.code == 'connection_lost':
             self.acting.on_suspect(self.fingerprint, source.worker.entry.name)
         if failed.evidence is evidence.Evidence.may_have_run:
@@ -190,20 +198,6 @@
             self._close_attempt(self.attempt, is_good=None)
         self._close(reason, 0)
 
-    def _charge(self, now: float) -> verdicts.NotRun | None:
-        if self.organisation is None:
-            return None
-        cost = quotas.compute_cost(self.organisation, self.request.prompt)
-        over = self.acting.quotas.admit(self.organisation, cost, now)
-        if over is None:
-            self.cost = cost
-            return None
-        text = (
-            f'{self.organisation.name} used {over.used:.0f} of {over.limit:.0f}'
-            f' and asks for {cost:.0f} more'
-        )
-        return verdicts.NotRun(text, over.wait_s, OVER_QUOTA, 'over_quota')
-
     def _draw_upstream(self) -> str:
         targets = self.route.targets
         if len(targets) == 1:
@@ -237,25 +231,13 @@
                 ),
             )
             return
-        shed = self._shed(found)
-        if shed is not None:
-            self._finish(shed)
-            return
+        if self.request.prompt is not None and not self.run.dials:
+            shed = admitting.shed(acting, self.route, found)
+            if shed is not None:
+                self._finish(shed)
+                return
         self._send(found, now)
 
-    def _shed(self, found: choosing.Candidate) -> verdicts.NotRun | None:
-        if self.run.dials or self.request.prompt is None:
-            return None
-        shed = shedding.judge(self.route.aim_s, found.queue_s)
-        if shed is None:
-            return None
-        text = (
-            f'prompts wait {shed.queue_s:.2f} s at the best worker of'
-            f' {self.upstream}, over {shed.limit_s:.2f} s'
-        )
-        delay_s = shed.retry_after_s * (0.5 + self.acting.random.random())
-        return verdicts.NotRun(text, delay_s, code='overloaded')
-
     def _get_rank(self) -> int:
         organisation = self.organisation
         if organisation is not None and organisation.rank is not None:
@@ -282,6 +264,7 @@
         worker.running += 1
         if self.request.prompt is not None:
             made.unread = found.unread_tokens
+            made.read = found.unread_tokens
             urgency = fleet.get_urgency(self._get_rank())
             worker.unread[urgency] += made.unread
         call = self.acting.codec.encode_call(
@@ -368,10 +351,20 @@
         self._release_prompt(source)
         source.worker.running -= 1
         if is_good is not None:
-            judging.note_answer(self.acting, source.worker, is_good=is_good)
+            now = self.acting.timers.now()
+            judging.note_answer(
+                self.acting,
+                source.worker,
+                self._name_route(source),
+                is_good=is_good,
+                latency_s=(source.first_at or now) - source.sent_at,
+            )
         if is_good:
             self.acting.suspects.clear(self.fingerprint)
 
+    def _name_route(self, source: attempt.Attempt) -> str:
+        return rollouts.name_route(self.route, source.read)
+
     def _release_prompt(self, source: attempt.Attempt) -> None:
         urgency = fleet.get_urgency(self._get_rank())
         source.worker.unread[urgency] -= source.unread
--- a/citronjunction/gateway/judging.py
+++ b/citronjunction/gateway/judging.py
@@ -6,11 +6,18 @@
 def note_answer(
     acting: services.Services,
     worker: fleet.Worker,
+    route: str,
     *,
     is_good: bool,
+    latency_s: float,
 ) -> None:
     """Count an answer for or against a worker and its version."""
-    acting.rollouts.record(worker, is_good=is_good)
+    acting.rollouts.record(
+        worker,
+        route,
+        is_good=is_good,
+        latency_s=latency_s,
+    )
     if is_good:
         worker.health.record_success()
     elif worker.health.record_failure(acting.timers.now()):
@@ -20,6 +27,7 @@
 def note_failure(
     acting: services.Services,
     worker: fleet.Worker,
+    route: str,
     failed: evidence.Failed,
 ) -> None:
     """Eject a worker that cannot be reached, or forget one that is gone."""
@@ -30,7 +38,7 @@
             acting.client.drop_idle(worker.entry.address)
             _log_ejection(acting, worker, failed.reason)
         case evidence.Evidence.may_have_run:
-            acting.rollouts.record(worker, is_good=False)
+            acting.rollouts.record(worker, route, is_good=False, latency_s=0)
             if worker.health.record_failure(now):
                 _log_ejection(acting, worker, failed.reason)
         case evidence.Evidence.refused if failed.code == 'misdirected':
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -7,6 +7,7 @@
 from citronjunction.duties import (
     clock,
     holder,
+    moving,
     models as duties,
     ordering,
     reporting,
@@ -15,14 +16,13 @@
 from citronjunction.gateway import (
     application,
     choosing,
-    copying,
     counting,
     fleet,
+    peer_exchange,
     ports,
     quotas,
     rollouts,
     services,
-    sharing,
     stopping,
     watching,
 )
@@ -75,7 +75,7 @@
             workers,
             choosing.Chooser(workers, settings.process.zone, loop.random),
             quotas.Quotas(settings.quotas.window_s),
-            rollouts.Rollouts(loop.random),
+            rollouts.Rollouts(loop.random, settings.control.significance),
             suspects.Suspects(settings.attempts),
             self.log,
             counting.Counts(self.name),
@@ -89,14 +89,20 @@
             adapter.decoder,
             self._on_configuration,
         )
-        self.copying = copying.Copying(self.acting, self.watcher, self.peers)
-        self.sharing = sharing.Sharing(
+        self.exchange = peer_exchange.PeerExchange(
             self.acting,
+            self.watcher,
             self.peers,
             self.ledger,
             self.clock,
             self.incarnation,
         )
+        self.sharing = self.exchange.sharing
+        self.mover = moving.RolloutReporter(
+            self.acting,
+            adapter.store,
+            self.watcher,
+        )
         self.holder = holder.Holder(
             settings.duties,
             self.name,
@@ -138,8 +144,7 @@
         self.announce()
         self.peers.start()
         self.watcher.start()
-        self.sharing.start()
-        self.copying.start()
+        self.exchange.start()
         timers = self.loop.timers
         timers.call_every(self.settings.membership.heartbeat_s, self._beat)
         timers.call_every(self.settings.duties.tick_s, self._do_duties)
@@ -191,21 +196,14 @@
 
     def on_fact(self, fact: facts.Fact) -> None:
         """Act on news of the peers."""
-        match fact:
-            case facts.LoadState():
-                self.sharing.take(fact)
-            case facts.EntryState():
-                self._take_entry(fact)
-            case facts.SuspectRequest():
-                self.acting.suspects.record_crash(
-                    fact.fingerprint,
-                    frozenset(fact.workers),
-                    self.loop.timers.now(),
-                )
+        if isinstance(fact, facts.EntryState):
+            self._take_entry(fact)
+        else:
+            self.exchange.take_fact(fact)
 
     def on_request(self, link: links.Link, message: messages.Message) -> None:
         """Take a message about stored objects."""
-        self.copying.take(link, message)
+        self.exchange.take_message(link, message)
 
     def _take_entry(self, fact: facts.EntryState) -> None:
         if fact.name == self.name:
@@ -214,11 +212,7 @@
             self.acting.quotas.note_leaving(fact.name)
         if self.clock.note_peer(fact.name, fact.sent_at):
             self.log.write('clock corrected', self.name)
-        configuration = self.acting.configuration
-        if configuration and fact.revision > configuration.version:
-            kind = self.watcher.decoder.configuration_kind
-            self.watcher.refresh(kind)
-            self.copying.ask_for(kind)
+        self.exchange.note_version(fact.revision)
 
     def _on_configuration(self) -> None:
         limits = self.acting.configuration.limits
@@ -249,6 +243,7 @@
         if self.sharing.is_holder:
             self.reporter.step(self.holder.get_fence)
             self.orderer.step(self.holder.get_fence)
+            self.mover.step(self.holder.get_fence)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- /dev/null
+++ b/citronjunction/gateway/peer_exchange.py
@@ -0,0 +1,76 @@
+"""All that a gateway exchanges with its peers."""
+
+from citronjunction.duties import clock, usage
+from citronjunction.gateway import (
+    copying,
+    services,
+    sharing,
+    trials,
+    watching,
+)
+from citronjunction.membership import facts, messages
+from citronjunction.peering import node
+from citronjunction.transport import links
+
+
+class PeerExchange:
+    """Join load, evidence and copies of stored objects."""
+
+    def __init__(
+        self,
+        acting: services.Services,
+        watcher: watching.Watcher,
+        peers: node.PeerNode,
+        ledger: usage.UsageLedger,
+        steady: clock.SteadyClock,
+        incarnation: int,
+    ) -> None:
+        """Take what is told and where news of the peers go."""
+        self.acting = acting
+        self.watcher = watcher
+        self.copying = copying.Copying(acting, watcher, peers)
+        self.trials = trials.Trials(acting, peers, incarnation)
+        self.sharing = sharing.Sharing(
+            acting,
+            peers,
+            ledger,
+            steady,
+            incarnation,
+        )
+
+    def start(self) -> None:
+        """Start all timers."""
+        self.sharing.start()
+        self.copying.start()
+        self.trials.start()
+
+    def take_fact(self, fact: facts.Fact) -> None:
+        """Take a fact that is not about an entry's place."""
+        match fact:
+            case facts.LoadState():
+                self.sharing.take(fact)
+            case facts.WithdrawnVersion():
+                self.trials.take_withdrawal(fact)
+            case facts.SuspectRequest():
+                self.acting.suspects.record_crash(
+                    fact.fingerprint,
+                    frozenset(fact.workers),
+                    self.acting.timers.now(),
+                )
+
+    def take_message(
+        self,
+        link: links.Link,
+        message: messages.Message,
+    ) -> None:
+        """Take a message about stored objects."""
+        self.copying.take(link, message)
+
+    def note_version(self, version: int) -> None:
+        """Learn which configuration a peer has."""
+        known = self.acting.configuration
+        if known is None or version <= known.version:
+            return
+        kind = self.watcher.decoder.configuration_kind
+        self.watcher.refresh(kind)
+        self.copying.ask_for(kind)
--- /dev/null
+++ b/citronjunction/gateway/trials.py
@@ -0,0 +1,96 @@
+"""Merges all entries' evidence about versions under rollout."""
+
+from citronjunction.gateway import rollouts, services
+from citronjunction.membership import facts
+from citronjunction.peering import evidence_rows, node
+
+INTERVAL_S = 0.25  # a bad version gets a few requests between two looks
+TELL_CHANGE = 0.5  # change of log evidence that is told to peers
+MAX_REASON = 256  # characters of a fact's text
+
+
+class Trials:
+    """Tell peers the own evidence and judge that of all."""
+
+    def __init__(
+        self,
+        acting: services.Services,
+        peers: node.PeerNode,
+        incarnation: int,
+    ) -> None:
+        """Take the rollouts and the peers."""
+        self.acting = acting
+        self.peers = peers
+        self.incarnation = incarnation
+
+    def start(self) -> None:
+        """Start to judge."""
+        self.acting.timers.call_every(INTERVAL_S, self.judge_all)
+
+    def judge_all(self) -> None:
+        """Judge each version that is on trial."""
+        for upstream, trial in self.acting.rollouts.held.items():
+            if trial.is_open and not trial.withdrawn:
+                self._tell(upstream, trial)
+                self._judge(upstream, trial)
+
+    def take_withdrawal(self, fact: facts.WithdrawnVersion) -> None:
+        """Stop to use a version that any entry found bad."""
+        is_news = self.acting.rollouts.withdraw(
+            fact.upstream,
+            fact.version,
+            fact.reason,
+        )
+        if is_news:
+            self.acting.log.write(
+                'withdraw version',
+                f'{fact.upstream} {fact.version}',
+                reason=fact.reason,
+            )
+
+    def _tell(self, upstream: str, trial: rollouts.Trial) -> None:
+        rows = self.acting.rollouts.get_rows(upstream)
+        change = sum(row.samples / 20 + max(row.log_values) for row in rows)
+        if abs(change - trial.told) < TELL_CHANGE:
+            return
+        trial.told = change
+        trial.sequence += 1
+        self.peers.publish(
+            facts.EvidenceState(
+                self.peers.own_name,
+                self.incarnation,
+                trial.sequence,
+                upstream,
+                trial.rollout.target,
+                trial.release,
+                tuple(
+                    facts.EvidenceRow(
+                        row.route,
+                        row.metric,
+                        row.worker,
+                        row.samples,
+                        tuple(round(held, 3) for held in row.log_values),
+                    )
+                    for row in rows
+                ),
+            ),
+        )
+
+    def _judge(self, upstream: str, trial: rollouts.Trial) -> None:
+        target = trial.rollout.target
+        rows = evidence_rows.gather_rows(
+            self.peers.table,
+            upstream,
+            target,
+            trial.release,
+        )
+        judgement = trial.judge.judge(rows)
+        if judgement.is_bad:
+            self.peers.publish(
+                facts.WithdrawnVersion(
+                    upstream,
+                    target,
+                    trial.release,
+                    judgement.reason[:MAX_REASON],
+                ),
+            )
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -34,6 +34,13 @@
     ) -> models.Rollout | None:
         """Decode an order to move an upstream."""
 
+    def encode_rollout_status(
+        self,
+        target: str,
+        state: models.RolloutState,
+    ) -> dict[str, object]:
+        """Encode how far a rollout is."""
+
 
 class Watcher:
     """Mirror configuration, workers and rollouts."""
@@ -202,7 +209,8 @@
 
     def _take_rollout(self, record: records.Record) -> None:
         rollout = self.decoder.decode_rollout(record)
-        if rollout is not None and self.acting.rollouts.take(rollout):
+        now = self.acting.timers.now()
+        if rollout is not None and self.acting.rollouts.take(rollout, now):
             self.acting.log.write(
                 'rollout',
                 rollout.upstream,
--- a/citronjunction/platform/decoder.py
+++ b/citronjunction/platform/decoder.py
@@ -32,3 +32,11 @@
             record.status,
             record.revision,
         )
+
+    def encode_rollout_status(
+        self,
+        target: str,
+        state: models.RolloutState,
+    ) -> dict[str, object]:
+        """Encode how far a rollout is."""
+        return configuration.encode_rollout_status(target, state)
