--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -8,6 +8,7 @@
 from citronjunction.transport import deadlines
 
 MIN_RETRY_S = 0.1  # first pause after a failed call
+GATHER_S = 0.15  # after a change; those that follow share one call
 MAX_RETRY_S = 0.6  # keeps a returned store's changes well inside 2 s
 
 
@@ -141,7 +142,10 @@
                 for change in result.changes:
                     self._apply(change)
                 self.as_of = max(self.as_of, result.as_of)
-                self._watch()
+                if result.changes:
+                    self._watch_later()
+                else:
+                    self._watch()
             case records.HistoryGone():
                 self.start()
             case records.Unavailable():
@@ -149,6 +153,13 @@
                 # after a failure only a list proves that the store answers.
                 self._retry()
 
+    def _watch_later(self) -> None:
+        turn = self.turn
+        self.timers.call_later(
+            GATHER_S,
+            lambda: self._watch() if turn == self.turn else None,
+        )
+
     def _apply(self, change: records.Change) -> None:
         if change.is_removed:
             self._remove(change.record.name)
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -165,3 +165,16 @@
     probes = 20
     lease = 20 / 2
     assert deployed.store.calls - before <= watches + probes + lease + 6
+
+
+def test_changes_that_come_together_share_calls(deployed):
+    deployed.world.run(5)
+    before = deployed.store.calls
+    for number in range(10):
+        deployed.add_worker(f'more-{number}', 'app')
+        deployed.world.run(0.02)
+    deployed.world.run(0.5)
+
+    assert deployed.store.calls - before <= 6
+    fleet = deployed.gateways['gateway-0'].acting.fleet
+    assert len(fleet.select('app')) == 12
