Move running streams off workers that are reclaimed

A stream that may not be resumed is cut when its worker goes. Its run is stopped, its memory copied to another worker, and the stream goes on within the same answer. Test: moves on stand-ins in virtual time.

--- a/citronjunction/commands/gateway.py
+++ b/citronjunction/commands/gateway.py
@@ -10,8 +10,14 @@
 from citronjunction.conf import models as conf
 from citronjunction.gateway import node, scraping
 from citronjunction.observability import output
-from citronjunction.platform import cloud, codec, decoder, directory
-from citronjunction.platform import object_store
+from citronjunction.platform import (
+    cloud,
+    codec,
+    decoder,
+    directory,
+    memory_moves,
+    object_store,
+)
 from citronjunction.transport import front, runtime
 
 app = typer.Typer(add_completion=False)
@@ -29,6 +35,7 @@
         decoder.PlatformDecoder(),
         object_store.ObjectStore(loop.client, settings.platform.object_api),
         cloud.Cloud(loop.client, settings.platform.cloud_api),
+        memory_moves.MemoryMover(loop.client),
     )
     built = node.GatewayNode(loop, settings, adapter)
     listeners = settings.listeners
--- a/citronjunction/gateway/admitting.py
+++ b/citronjunction/gateway/admitting.py
@@ -1,6 +1,6 @@
 """Refusals of requests before any worker is asked."""
 
-from citronjunction.gateway import choosing, models, services, shedding
+from citronjunction.gateway import choosing, models, quotas, services, shedding
 from citronjunction.verdicts import models as verdicts
 
 OVER_QUOTA = 429  # HTTP status
@@ -9,12 +9,13 @@
 def charge(
     acting: services.Services,
     organisation: models.Organisation,
-    cost: float,
-) -> verdicts.NotRun | None:
+    prompt: models.Prompt | None,
+) -> float | verdicts.NotRun:
     """Charge a request to its organisation's quota, or refuse it."""
+    cost = quotas.compute_cost(organisation, prompt)
     over = acting.quotas.admit(organisation, cost, acting.timers.now())
     if over is None:
-        return None
+        return cost
     text = (
         f'{organisation.name} used {over.used:.0f} of {over.limit:.0f}'
         f' and asks for {cost:.0f} more'
--- /dev/null
+++ b/citronjunction/gateway/assigning.py
@@ -0,0 +1,56 @@
+"""What a worker is told of a request that it is assigned."""
+
+import random
+
+from citronjunction.gateway import fleet, models
+
+CONNECT_S = 0.3  # a worker accepts within milliseconds, unless it is gone
+# Servers close idle connections without notice, and a request that may run
+# once must not meet that.
+FRESH_IDLE_S = 1.0
+LONG_IDLE_S = 8.0
+MAX_PRIORITY = 9  # least urgent
+MIN_TIME_LEFT_S = 0.02  # shorter than any answer takes
+
+
+def draw_upstream(route: models.Route, source: random.Random) -> str:
+    """Draw an upstream by the weights of a route's split."""
+    if len(route.targets) == 1:
+        return route.targets[0].upstream
+    weights = [target.weight for target in route.targets]
+    return source.choices(route.targets, weights)[0].upstream
+
+
+def get_rank(
+    route: models.Route,
+    organisation: models.Organisation | None,
+) -> int:
+    """Return the rank of a request; the organisation's goes first."""
+    if organisation is not None and organisation.rank is not None:
+        return organisation.rank
+    return route.rank
+
+
+def build_assignment(
+    route: models.Route,
+    organisation: models.Organisation | None,
+    worker: fleet.Worker,
+    left_s: float,
+    last_event: str,
+    memory: str,
+) -> models.Assignment:
+    """Build what goes to the worker besides the request itself."""
+    priority = None
+    if route.is_prompt:
+        priority = min(MAX_PRIORITY, get_rank(route, organisation))
+    return models.Assignment(
+        worker.entry.name,
+        worker.entry.address,
+        max(MIN_TIME_LEFT_S, left_s),
+        organisation.name if organisation else '',
+        priority,
+        last_event,
+        CONNECT_S,
+        LONG_IDLE_S if route.is_idempotent else FRESH_IDLE_S,
+        memory,
+    )
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -3,6 +3,7 @@
 from citronjunction.attempts import suspects
 from citronjunction.gateway import (
     admitting,
+    assigning,
     attempt,
     choosing,
     evidence,
@@ -10,21 +11,15 @@
     judging,
     models,
     outlet,
-    quotas,
     recording,
-    rollouts,
+    relocation,
     services,
 )
 from citronjunction.transport import deadlines, front
 from citronjunction.verdicts import models as verdicts
 
-CONNECT_S = 0.3  # a worker accepts within milliseconds, unless it is gone
-FRESH_IDLE_S = 1.0  # reuse of connections by requests that may run once
-LONG_IDLE_S = 8.0
 RETRY_AFTER_S = 0.3  # a full worker frees a slot within a few answers
 GATEWAY_TIMEOUT = 504  # HTTP status
-MAX_PRIORITY = 9  # least urgent
-MIN_TIME_LEFT_S = 0.02  # shorter than any answer takes
 
 
 class Flow:
@@ -45,11 +40,13 @@
         'last_event',
         'organisation',
         'outlet',
+        'relocation',
         'request',
         'route',
         'run',
         'tried',
         'upstream',
+        'urgency',
     )
 
     def __init__(
@@ -79,10 +76,14 @@
             request.body,
         )
         self.attempt: attempt.Attempt | None = None
-        self.tried: list[object] = []
+        self.tried: list[fleet.Worker] = []
+        self.relocation: relocation.Relocation | None = None
         self.cost: float = 0
         self.last_event = request.last_event
         self.upstream = ''
+        self.urgency = fleet.get_urgency(
+            assigning.get_rank(route, organisation),
+        )
         self.expected_s: float | None = None
         self.first_s: float | None = None
         self.is_trial = False
@@ -105,13 +106,16 @@
             self._finish(verdicts.NotRun(text, delay_s, code='suspect_request'))
             return
         if self.organisation is not None:
-            cost = quotas.compute_cost(self.organisation, self.request.prompt)
-            over = admitting.charge(acting, self.organisation, cost)
-            if over is not None:
-                self._finish(over)
+            charged = admitting.charge(
+                acting,
+                self.organisation,
+                self.request.prompt,
+            )
+            if isinstance(charged, verdicts.NotRun):
+                self._finish(charged)
                 return
-            self.cost = cost
-        self.upstream = self._draw_upstream()
+            self.cost = charged
+        self.upstream = assigning.draw_upstream(self.route, acting.random)
         self.is_trial = acting.rollouts.draws_trial(self.upstream, now)
         acting.get_budget(self.upstream).record_request(now)
         tokens = self.request.prompt.prompt_tokens if self.request.prompt else 1
@@ -174,6 +178,8 @@
     ) -> None:
         """Try again, go on elsewhere, or give up."""
         self._close_attempt(source, is_good=None)
+        if self.relocation is not None and self.relocation.take_break():
+            return
         judging.note_failure(
             self.acting,
             source.worker,
@@ -189,6 +195,21 @@
             return
         self._give_up(failed)
 
+    def go_on_at(self, worker: fleet.Worker, memory: str) -> None:
+        """Go on with a stopped run from the copy of its memory."""
+        if not self.is_over:
+            now = self.acting.timers.now()
+            self._send(choosing.Candidate(worker, 0, 0, 0), now, memory)
+
+    def end_broken(self, failed: evidence.Failed) -> None:
+        """End a stream that cannot go on."""
+        self.run.note(failed)
+        self._give_up(failed)
+
+    def allows(self, worker: fleet.Worker) -> bool:
+        """Tell whether the request may go to a worker's version."""
+        return self.acting.rollouts.allows(worker, is_trial=self.is_trial)
+
     def cancel(self, reason: str) -> None:
         """Drop the request without an answer."""
         if self.is_over:
@@ -198,24 +219,16 @@
             self._close_attempt(self.attempt, is_good=None)
         self._close(reason, 0)
 
-    def _draw_upstream(self) -> str:
-        targets = self.route.targets
-        if len(targets) == 1:
-            return targets[0].upstream
-        weights = [target.weight for target in targets]
-        drawn = self.acting.random.choices(targets, weights)
-        return drawn[0].upstream
-
     def _try_worker(self) -> None:
         acting = self.acting
         now = acting.timers.now()
         found = acting.chooser.choose(
             self.upstream,
             self.request.prompt,
-            fleet.get_urgency(self._get_rank()),
+            self.urgency,
             self.tried,
             now,
-            self._allows,
+            self.allows,
         )
         if found is None and self.is_trial:
             self.is_trial = False
@@ -238,16 +251,12 @@
                 return
         self._send(found, now)
 
-    def _get_rank(self) -> int:
-        organisation = self.organisation
-        if organisation is not None and organisation.rank is not None:
-            return organisation.rank
-        return self.route.rank
-
-    def _allows(self, worker: object) -> bool:
-        return self.acting.rollouts.allows(worker, is_trial=self.is_trial)
-
-    def _send(self, found: choosing.Candidate, now: float) -> None:
+    def _send(
+        self,
+        found: choosing.Candidate,
+        now: float,
+        memory: str = '',
+    ) -> None:
         worker = found.worker
         self.expected_s = found.wait_s
         self.tried.append(worker)
@@ -265,32 +274,23 @@
         if self.request.prompt is not None:
             made.unread = found.unread_tokens
             made.read = found.unread_tokens
-            urgency = fleet.get_urgency(self._get_rank())
-            worker.unread[urgency] += made.unread
+            worker.unread[self.urgency] += made.unread
         call = self.acting.codec.encode_call(
             self.request,
-            self._assign(worker, now),
+            assigning.build_assignment(
+                self.route,
+                self.organisation,
+                worker,
+                self.deadline_at - now,
+                self.last_event,
+                memory,
+            ),
         )
         made.call = self.acting.client.send(call, made)
 
-    def _assign(self, worker: object, now: float) -> models.Assignment:
-        organisation = self.organisation
-        is_prompt = self.request.prompt is not None
-        max_idle_s = LONG_IDLE_S if self.route.is_idempotent else FRESH_IDLE_S
-        return models.Assignment(
-            worker.entry.name,
-            worker.entry.address,
-            max(MIN_TIME_LEFT_S, self.deadline_at - now),
-            organisation.name if organisation else '',
-            min(MAX_PRIORITY, self._get_rank()) if is_prompt else None,
-            self.last_event,
-            CONNECT_S,
-            max_idle_s,
-        )
-
     def _try_again(self, failed: evidence.Failed) -> bool:
         now = self.acting.timers.now()
-        if self.deadline_at - now < MIN_TIME_LEFT_S:
+        if self.deadline_at - now < assigning.MIN_TIME_LEFT_S:
             return False
         if self.outlet.is_started and not self.route.can_resume:
             return False
@@ -363,11 +363,10 @@
             self.acting.suspects.clear(self.fingerprint)
 
     def _name_route(self, source: attempt.Attempt) -> str:
-        return rollouts.name_route(self.route, source.read)
+        return judging.name_route(self.route, source.read)
 
     def _release_prompt(self, source: attempt.Attempt) -> None:
-        urgency = fleet.get_urgency(self._get_rank())
-        source.worker.unread[urgency] -= source.unread
+        source.worker.unread[self.urgency] -= source.unread
         source.unread = 0
 
     def _note_begun(self) -> None:
--- a/citronjunction/gateway/judging.py
+++ b/citronjunction/gateway/judging.py
@@ -1,6 +1,8 @@
 """What answers and failures tell about a worker."""
 
-from citronjunction.gateway import evidence, fleet, services
+from citronjunction.gateway import evidence, fleet, models, services
+
+UNCACHED_BOUNDS = (512, 4096)  # prompt tokens; sizes whose latencies compare
 
 
 def note_answer(
@@ -46,6 +48,12 @@
             _log_ejection(acting, worker, failed.reason)
 
 
+def name_route(route: models.Route, unread_tokens: int) -> str:
+    """Name a route with the size of what the worker must read."""
+    size = sum(unread_tokens >= bound for bound in UNCACHED_BOUNDS)
+    return f'{route.name}#{size}' if route.is_prompt else route.name
+
+
 def _log_ejection(
     acting: services.Services,
     worker: fleet.Worker,
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -204,7 +204,7 @@
     """State what an attempt tells the worker besides the request itself.
 
     ``priority`` 0 is the most urgent; ``last_event`` is where a stream goes
-    on.
+    on, ``memory`` names the copy of its run's memory.
     """
 
     worker: str
@@ -215,6 +215,7 @@
     last_event: str
     connect_s: float
     max_idle_s: float
+    memory: str = ''
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -21,6 +21,7 @@
     peer_exchange,
     ports,
     quotas,
+    relocation,
     rollouts,
     services,
     stopping,
@@ -43,6 +44,7 @@
     decoder: watching.Decoder
     store: records.Store
     cloud: duties.Cloud
+    mover: relocation.Mover
 
 
 class GatewayNode:
@@ -81,6 +83,7 @@
             counting.Counts(self.name),
             self._on_begun,
             self._on_suspect,
+            self._on_leaving,
         )
         self.peers = node.PeerNode(loop, settings, self.name, self)
         self.watcher = watching.Watcher(
@@ -89,6 +92,7 @@
             adapter.decoder,
             self._on_configuration,
         )
+        self.evacuation = relocation.Evacuation(self.acting, adapter.mover)
         self.exchange = peer_exchange.PeerExchange(
             self.acting,
             self.watcher,
@@ -230,6 +234,9 @@
             facts.SuspectRequest(fingerprint, (worker,), self.clock.now()),
         )
 
+    def _on_leaving(self, worker: fleet.Worker) -> None:
+        self.evacuation.schedule(worker)
+
     def _beat(self) -> None:
         if (
             self.loop.timers.now() - self.announced_at
--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -12,7 +12,6 @@
 # bad version may have a tenth, so more follows only after a long trial.
 TRIAL_SHARES = ((0.55, 0.06), (0.75, 0.3))
 COMPLETE_AT = 0.93  # of the rollout's time; leaves room for a lost write
-UNCACHED_BOUNDS = (512, 4096)  # prompt tokens; sizes whose latencies compare
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,12 +141,6 @@
         return held
 
 
-def name_route(route: models.Route, unread_tokens: int) -> str:
-    """Name a route with the size of what the worker must read."""
-    size = sum(unread_tokens >= bound for bound in UNCACHED_BOUNDS)
-    return f'{route.name}#{size}' if route.is_prompt else route.name
-
-
 def _get_progress(trial: Trial, now: float) -> float:
     return (now - trial.seen_at) / max(1, trial.rollout.duration_s)
 
--- a/citronjunction/gateway/services.py
+++ b/citronjunction/gateway/services.py
@@ -39,6 +39,7 @@
     counts: counting.Counts
     on_begun: abc.Callable[[str], None]
     on_suspect: abc.Callable[[int, str], None]
+    on_leaving: abc.Callable[[fleet.Worker], None]
     configuration: models.Configuration | None = None
     routes: matching.RouteTable = dataclasses.field(
         default_factory=lambda: matching.RouteTable(()),
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -192,7 +192,10 @@
         acting = self.acting
         known = acting.fleet.workers.get(entry.name)
         before = known and known.entry
+        was_leaving = known is not None and known.leaves_at is not None
         worker = acting.fleet.register(entry, acting.timers.now())
+        if worker.leaves_at is not None and not was_leaving:
+            acting.on_leaving(worker)
         if before is None or _is_news(before, entry):
             acting.log.write(
                 'worker',
--- /dev/null
+++ b/citronjunction/platform/memory_moves.py
@@ -0,0 +1,71 @@
+"""Moves of a run's memory between workers."""
+
+import json
+from collections import abc
+from urllib import parse as urls
+
+from citronjunction.gateway import relocation
+from citronjunction.platform import names
+from citronjunction.transport import http_client
+
+CALL_S = 1.5  # a copy waits for others on the same links
+OK = 200
+UNAVAILABLE = 503
+JSON_HEADERS = {'Content-Type': 'application/json'}
+
+
+class MemoryMover:
+    """Call workers to copy, stop and free runs."""
+
+    __slots__ = ('client',)
+
+    def __init__(self, client: http_client.HttpClient) -> None:
+        """Take the HTTP client."""
+        self.client = client
+
+    def move(
+        self,
+        source: str,
+        request: str,
+        target: str,
+        on_result: abc.Callable[[relocation.MoveResult], None],
+        *,
+        stops: bool,
+    ) -> None:
+        """Copy the memory of a run, and stop the run first if told to."""
+        document = {'id': request, 'target': target, 'last': stops}
+        call = http_client.Call(
+            source,
+            'POST',
+            names.MEMORY_MOVE,
+            JSON_HEADERS,
+            json.dumps(document).encode(),
+            connect_s=CALL_S / 3,
+            silence_s=CALL_S,
+        )
+        sink = http_client.WholeReply(
+            lambda reply: on_result(_read_result(reply)),
+            lambda failure: on_result(relocation.NotMoved(failure.reason)),
+        )
+        self.client.send(call, sink)
+
+    def drop(self, source: str, handle: str) -> None:
+        """Free a copy that is not needed."""
+        path = f'{names.MEMORY_HANDLE}/{urls.quote(handle, safe="")}'
+        call = http_client.Call(source, 'DELETE', path, silence_s=CALL_S)
+        # The worker frees the copy by itself soon after.
+        ignore = http_client.WholeReply(lambda _: None, lambda _: None)
+        self.client.send(call, ignore)
+
+
+def _read_result(reply: http_client.Reply) -> relocation.MoveResult:
+    reason = f'the worker answered {reply.status}'
+    try:
+        handle = str(json.loads(reply.body or b'{}').get('handle') or '')
+    except (ValueError, AttributeError) as error:
+        return relocation.NotMoved(f'{reason} with a malformed body: {error}')
+    if reply.status == OK and handle:
+        return relocation.Moved(handle)
+    if reply.status == UNAVAILABLE and handle:
+        return relocation.Kept(handle)
+    return relocation.NotMoved(reason)
--- a/citronjunction/platform/upstream_calls.py
+++ b/citronjunction/platform/upstream_calls.py
@@ -28,6 +28,8 @@
         headers[names.PRIORITY] = str(assignment.priority)
     if assignment.last_event:
         headers[names.LAST_EVENT] = assignment.last_event
+    if assignment.memory:
+        headers[names.MEMORY_FROM] = assignment.memory
     return http_client.Call(
         assignment.address,
         request.method,
--- /dev/null
+++ b/tests/gateway/test_relocation.py
@@ -0,0 +1,120 @@
+"""A reclaim moves the streams that would be cut off."""
+
+import pytest
+
+from tests.support import platform_system
+
+MOVING = {
+    'name': 'llm',
+    'healthPath': '/healthz',
+    'maxConns': 100,
+    'engine': {'slots': 64, 'kvCapacity': 700000, 'moves': True},
+}
+EVENTS = 50
+
+
+@pytest.fixture
+def deployed():
+    held = platform_system.PlatformSystem()
+    held.configuration['services'][1] = MOVING
+    held.configuration['routes'] = [
+        platform_system.route(
+            'stream', '/stream/', 'stream', 'llm', timeoutMs=15000, attempts=1
+        ),
+        platform_system.route('safe', '/safe/', 'safe', 'app'),
+    ]
+    held.build(workers=2)
+    for worker in held.workers.values():
+        worker.behaviour.events = EVENTS
+        worker.behaviour.gap_s = 0.1
+    return held
+
+
+def start_stream(deployed):
+    answer = deployed.send('/stream/x', method='POST', deadline_ms=15000)
+    deployed.world.run(0.5)
+    signer = answer.headers['signature'].removeprefix('sig.')
+    other = 'llm-1' if signer == 'llm-0' else 'llm-0'
+    return answer, signer, other
+
+
+def reclaim(deployed, name, left_s):
+    deployed.set_state(name, 'draining', leaves_ms=int(left_s * 1000))
+    deployed.world.run(left_s)
+    deployed.worker_hosts[name].kill()
+
+
+def numbers(answer):
+    lines = answer.body.decode().split('\n')
+    return [int(line[4:]) for line in lines if line.startswith('id: ')]
+
+
+def test_a_stream_goes_on_from_its_memory_at_another_worker(deployed):
+    answer, source, target = start_stream(deployed)
+    reclaim(deployed, source, 2.4)
+    deployed.world.run(6)
+
+    assert answer.is_whole
+    assert numbers(answer) == list(range(1, EVENTS + 1))
+    assert answer.headers['signature'] == f'sig.{source}'
+    (run,) = deployed.workers[target].runs
+    assert run.headers['kv-from'].startswith('10.8.0.')
+    assert run.headers['kv-from'].endswith('/h-request-1')
+    assert run.headers['last-event-id']
+    stops = [move['last'] for move in deployed.workers[source].moves]
+    assert stops == [False, True]
+
+
+def test_a_stream_that_ends_in_time_is_not_stopped(deployed):
+    for worker in deployed.workers.values():
+        worker.behaviour.events = 14
+    answer, source, target = start_stream(deployed)
+    reclaim(deployed, source, 2.4)
+    deployed.world.run(2)
+
+    assert answer.is_whole
+    assert not deployed.workers[target].runs
+    assert all(not move['last'] for move in deployed.workers[source].moves)
+
+
+def test_without_room_the_stream_goes_on_at_its_worker(deployed):
+    answer, source, target = start_stream(deployed)
+    deployed.workers[source].move_status = 503
+    deployed.set_state(source, 'draining', leaves_ms=2400)
+    deployed.world.run(8)
+
+    assert answer.is_whole
+    assert numbers(answer) == list(range(1, EVENTS + 1))
+    assert len(deployed.workers[source].runs) == 2
+    assert not deployed.workers[target].runs
+
+
+def test_a_stopped_run_whose_memory_is_lost_is_cut(deployed):
+    answer, source, target = start_stream(deployed)
+    deployed.workers[source].forgets_handle = True
+    reclaim(deployed, source, 2.4)
+    deployed.world.run(4)
+
+    assert answer.status == 200
+    assert not answer.is_whole
+    assert not deployed.workers[target].runs
+
+
+def test_a_caller_that_left_is_not_moved(deployed):
+    answer, source, target = start_stream(deployed)
+    deployed.set_state(source, 'draining', leaves_ms=2400)
+    deployed.world.run(1.0)
+    answer.call.cancel()
+    deployed.world.run(4)
+
+    assert not deployed.workers[target].runs
+    assert not deployed.gateways['gateway-0'].acting.flows
+
+
+def test_a_worker_that_drains_without_a_time_is_left_alone(deployed):
+    answer, source, _ = start_stream(deployed)
+    deployed.set_state(source, 'draining')
+    deployed.world.run(6)
+
+    assert answer.is_whole
+    assert not deployed.workers[source].moves
--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -1,6 +1,7 @@
 """Stand-in of a worker of the platform: plain answers and event streams."""
 
 import dataclasses
+import json
 
 SIGNATURE = 'sig.{}'
 
@@ -32,9 +33,17 @@
         self.arrivals = []
         self.runs = []
         self.cancelled = []
+        self.streams = {}
+        self.moves = []
+        self.dropped = []
+        self.move_status = 200
+        self.forgets_handle = False
 
     def handle(self, exchange):
         request = exchange.request
+        if request.path.startswith('/api/kv-'):
+            self._move(exchange)
+            return
         self.arrivals.append(request)
         expected = request.headers.get('expect-instance', self.name)
         if expected != self.name:
@@ -73,6 +82,30 @@
             headers = self._sign(exchange)
             self._respond(exchange, behaviour.status, headers, body)
 
+    def _move(self, exchange):
+        request = exchange.request
+        if request.method == 'DELETE':
+            self.dropped.append(request.path.rpartition('/')[2])
+            exchange.respond(200, {}, b'{}')
+            return
+        document = json.loads(request.body)
+        self.moves.append(document)
+        running = self.streams.get(document['id'])
+        if running is None or running.is_done:
+            exchange.respond(404, {}, b'{}')
+            return
+        if document['last']:
+            running.abort()
+        answer = {'handle': f'h-{document["id"]}', 'createdRev': 1}
+        if self.forgets_handle:
+            answer = {}
+        self.host.timers.call_later(
+            0.05,
+            lambda: exchange.respond(
+                self.move_status, {}, json.dumps(answer).encode()
+            ),
+        )
+
     def _sign(self, exchange):
         request_id = exchange.request.headers.get('attempt-id', '')
         headers = {'Attempt-Id': request_id, 'Load': '1,0,6'}
@@ -87,6 +120,7 @@
         headers = self._sign(exchange)
         headers['Content-Type'] = 'text/event-stream'
         last = exchange.request.headers.get('last-event-id', '')
+        self.streams[exchange.request.headers['attempt-id']] = exchange
         exchange.start_stream(200, headers)
         self._push(exchange, int(last) + 1 if last else 1)
 
