--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -28,7 +28,7 @@
     """Hold a worker and what a request meets there.
 
     ``wait_s`` is the time to the first event, ``queue_s`` the part of it
-    that is spent on the prompts of others.
+    that is spent on prompts at least as urgent.
     """
 
     worker: fleet.Worker
@@ -122,8 +122,10 @@
         best = None
         best_cost_s = math.inf
         for order, worker in enumerate(ranked):
-            queue_s = worker.count_unread(urgency) / PREFILL_TOKENS_PER_S
-            wait_s = queue_s + self._estimate_own(worker, prompt, now)
+            # Once admitted, prompts of all urgencies are read side by side.
+            unread_there = worker.count_unread(fleet.URGENCIES - 1)
+            wait_s = unread_there / PREFILL_TOKENS_PER_S
+            wait_s += self._estimate_own(worker, prompt, now)
             cost_s = wait_s
             unread = prompt.prompt_tokens
             if order < 2:
@@ -136,6 +138,7 @@
             if worker.entry.zone != self.zone:
                 cost_s += MISSED_ZONE_S
             if cost_s < best_cost_s:
+                queue_s = worker.count_unread(urgency) / PREFILL_TOKENS_PER_S
                 best = Candidate(worker, wait_s, queue_s, unread)
                 best_cost_s = cost_s
         return best
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -38,7 +38,6 @@
     peer_unread: list[int] = dataclasses.field(default_factory=_start_unread)
     is_retired: bool = False
     is_absent: bool = False
-    leaves_at: float | None = None
     cold_until: float = 0
 
     @property
@@ -83,8 +82,6 @@
         known.entry = entry
         known.is_absent = False
         known.cold_until = now + entry.cold_s
-        if entry.leaves_in_s is not None and known.leaves_at is None:
-            known.leaves_at = now + entry.leaves_in_s
         return known
 
     def mark_absent(self, name: str) -> Worker | None:
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -264,7 +264,6 @@
     """Hold what a worker registered about itself.
 
     ``born_ms`` tells apart the starts of a worker that keeps its name.
-    ``leaves_in_s`` is known after a reclaim notice.
     """
 
     name: str
@@ -277,7 +276,6 @@
     is_reclaimable: bool
     born_ms: int
     cold_s: float
-    leaves_in_s: float | None
 
 
 class RolloutState(enum.Enum):
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -63,6 +63,13 @@
     def drop(self, source: str, handle: str) -> None:
         """Free a copy that is not needed."""
 
+    def read_time_left(
+        self,
+        source: str,
+        on_read: abc.Callable[[float | None], None],
+    ) -> None:
+        """Ask a worker in how many seconds it goes, if it knows."""
+
 
 class Phase(enum.Enum):
     """Tell how far a relocation is."""
@@ -197,16 +204,37 @@
         self.mover = mover
 
     def schedule(self, worker: fleet.Worker) -> None:
-        """Plan the moves off a worker whose time to go is known."""
-        policy = self.acting.configuration.upstreams.get(worker.entry.upstream)
-        if (
-            policy is None
-            or policy.engine is None
-            or not policy.engine.can_move
-        ):
+        """Plan the moves off a worker that has begun to drain."""
+        configuration = self.acting.configuration
+        if configuration is None:
+            return
+        policy = configuration.upstreams.get(worker.entry.upstream)
+        engine = policy and policy.engine
+        if engine is None or not engine.can_move:
+            return
+        if self._has_streams(worker):
+            self.mover.read_time_left(
+                worker.entry.address,
+                lambda left_s: self._plan(worker, left_s),
+            )
+
+    def _has_streams(self, worker: fleet.Worker) -> bool:
+        return any(
+            held.attempt is not None and held.attempt.worker is worker
+            for held in self.acting.flows
+            if held.route.kind is models.RouteKind.stream
+        )
+
+    def _plan(self, worker: fleet.Worker, left_s: float | None) -> None:
+        self.acting.log.write(
+            'worker leaves',
+            worker.entry.name,
+            left_s=left_s,
+            running=worker.running,
+        )
+        if left_s is None:
             return
         timers = self.acting.timers
-        left_s = worker.leaves_at - timers.now()
         copy_in_s = max(0, left_s - COPY_BEFORE_S)
         stop_in_s = max(copy_in_s + SETTLE_S, left_s - STOP_BEFORE_S)
         timers.call_later(copy_in_s, lambda: self._copy(worker))
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -192,9 +192,8 @@
         acting = self.acting
         known = acting.fleet.workers.get(entry.name)
         before = known and known.entry
-        was_leaving = known is not None and known.leaves_at is not None
         worker = acting.fleet.register(entry, acting.timers.now())
-        if worker.leaves_at is not None and not was_leaving:
+        if worker.is_draining and not _is_draining(before):
             acting.on_leaving(worker)
         if before is None or _is_news(before, entry):
             acting.log.write(
@@ -205,7 +204,6 @@
                 state=entry.state.value,
                 version=entry.version,
                 is_reclaimable=entry.is_reclaimable,
-                leaves_in_s=entry.leaves_in_s,
                 revision=record.revision,
                 running=worker.total_running,
             )
@@ -222,6 +220,10 @@
             )
 
 
+def _is_draining(entry: models.WorkerEntry | None) -> bool:
+    return entry is not None and entry.state is models.WorkerState.draining
+
+
 def _is_news(before: models.WorkerEntry, after: models.WorkerEntry) -> bool:
     return (before.state, before.born_ms, before.version) != (
         after.state,
--- a/citronjunction/platform/memory_moves.py
+++ b/citronjunction/platform/memory_moves.py
@@ -4,10 +4,14 @@
 from collections import abc
 from urllib import parse as urls
 
+from absl import logging
+
 from citronjunction.gateway import relocation
 from citronjunction.platform import names
 from citronjunction.transport import http_client
 
+MS_PER_S = 1000
+REPORT_S = 0.5  # a report is of some hundred ms ago anyway
 CALL_S = 1.5  # a copy waits for others on the same links
 OK = 200
 UNAVAILABLE = 503
@@ -49,6 +53,25 @@
         )
         self.client.send(call, sink)
 
+    def read_time_left(
+        self,
+        source: str,
+        on_read: abc.Callable[[float | None], None],
+    ) -> None:
+        """Ask a worker in how many seconds it goes, if it knows."""
+        call = http_client.Call(
+            source,
+            'GET',
+            names.REPORT,
+            connect_s=REPORT_S,
+            silence_s=REPORT_S,
+        )
+        sink = http_client.WholeReply(
+            lambda reply: on_read(_read_time_left(reply)),
+            lambda _: on_read(None),
+        )
+        self.client.send(call, sink)
+
     def drop(self, source: str, handle: str) -> None:
         """Free a copy that is not needed."""
         path = f'{names.MEMORY_HANDLE}/{urls.quote(handle, safe="")}'
@@ -58,6 +81,15 @@
         self.client.send(call, ignore)
 
 
+def _read_time_left(reply: http_client.Reply) -> float | None:
+    try:
+        left_ms = json.loads(reply.body).get('leaves_ms')
+    except (ValueError, AttributeError) as error:
+        logging.warning('a worker report is malformed: %s', error)
+        return None
+    return left_ms / MS_PER_S if isinstance(left_ms, int | float) else None
+
+
 def _read_result(reply: http_client.Reply) -> relocation.MoveResult:
     reason = f'the worker answered {reply.status}'
     try:
--- a/citronjunction/platform/names.py
+++ b/citronjunction/platform/names.py
@@ -57,6 +57,7 @@
 OBJECTS = '/api/objects'
 ADDRESSES = '/api/resolve'
 READINESS = '/api/readyz'
+REPORT = '/api/report'
 MEMORY_MOVE = '/api/kv-move'
 MEMORY_HANDLE = '/api/kv-handle'
 USAGE = '/usage'
--- a/citronjunction/platform/registry.py
+++ b/citronjunction/platform/registry.py
@@ -27,10 +27,6 @@
     state: str
     cold_left_ms: float = 0  # how much longer it is slow after its start
     spot: bool = False
-    leaves_ms: float | None = pydantic.Field(
-        default=None,
-        alias='leaves_ms',
-    )  # time until a reclaim takes it
     born: int = 0  # Unix milliseconds of its start
 
 
@@ -43,9 +39,6 @@
         reason = str(error).replace('\n', ' ')[:200]
         logging.warning('worker entry %.80s is malformed: %s', name, reason)
         return None
-    leaves_in_s = None
-    if wire.leaves_ms is not None:
-        leaves_in_s = wire.leaves_ms / MS_PER_S
     return models.WorkerEntry(
         name,
         wire.service,
@@ -57,5 +50,4 @@
         wire.spot,
         wire.born,
         wire.cold_left_ms / MS_PER_S,
-        leaves_in_s,
     )
--- a/tests/gateway/patterns.py
+++ b/tests/gateway/patterns.py
@@ -21,7 +21,6 @@
             False,
             1,
             0,
-            None,
         )
         held.register(entry, NOW)
     return held, choosing.Chooser(held, 'z1', random.Random(3))
--- a/tests/gateway/test_relocation.py
+++ b/tests/gateway/test_relocation.py
@@ -38,8 +38,13 @@
     return answer, signer, other
 
 
+def drain(deployed, name, left_s):
+    deployed.workers[name].leaves_at = deployed.world.now + left_s
+    deployed.set_state(name, 'draining')
+
+
 def reclaim(deployed, name, left_s):
-    deployed.set_state(name, 'draining', leaves_ms=int(left_s * 1000))
+    drain(deployed, name, left_s)
     deployed.world.run(left_s)
     deployed.worker_hosts[name].kill()
 
@@ -80,7 +85,7 @@
 def test_without_room_the_stream_goes_on_at_its_worker(deployed):
     answer, source, target = start_stream(deployed)
     deployed.workers[source].move_status = 503
-    deployed.set_state(source, 'draining', leaves_ms=2400)
+    drain(deployed, source, 2.4)
     deployed.world.run(8)
 
     assert answer.is_whole
@@ -102,7 +107,7 @@
 
 def test_a_caller_that_left_is_not_moved(deployed):
     answer, source, target = start_stream(deployed)
-    deployed.set_state(source, 'draining', leaves_ms=2400)
+    drain(deployed, source, 2.4)
     deployed.world.run(1.0)
     answer.call.cancel()
     deployed.world.run(4)
--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -37,10 +37,18 @@
         self.moves = []
         self.dropped = []
         self.move_status = 200
+        self.leaves_at = None
         self.forgets_handle = False
 
     def handle(self, exchange):
         request = exchange.request
+        if request.path == '/api/report':
+            left_s = self.leaves_at and self.leaves_at - self.host.timers.now()
+            report = {'phase': 'mixed'}
+            if left_s is not None:
+                report['leaves_ms'] = round(left_s * 1000)
+            exchange.respond(200, {}, json.dumps(report).encode())
+            return
         if request.path.startswith('/api/kv-'):
             self._move(exchange)
             return
