--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -19,6 +19,8 @@
 # worker with ten streams needs about a second.
 COPY_BEFORE_S = 1.7  # before the worker goes
 STOP_BEFORE_S = 0.8  # before the worker goes; the rest of a copy is short
+ASK_AGAIN_S = 0.25  # a worker's report is some hundred ms old
+MAX_ASKS = 3  # a worker that drains without a time tells none
 SETTLE_S = 0.2  # shortest time between copy and stop
 
 
@@ -212,10 +214,27 @@
         engine = policy and policy.engine
         if engine is None or not engine.can_move:
             return
+        self._ask(worker, MAX_ASKS)
+
+    def _ask(self, worker: fleet.Worker, asks_left: int) -> None:
         if self._has_streams(worker):
             self.mover.read_time_left(
                 worker.entry.address,
-                lambda left_s: self._plan(worker, left_s),
+                lambda left_s: self._take_time(worker, left_s, asks_left - 1),
+            )
+
+    def _take_time(
+        self,
+        worker: fleet.Worker,
+        left_s: float | None,
+        asks_left: int,
+    ) -> None:
+        if left_s is not None:
+            self._plan(worker, left_s)
+        elif asks_left:
+            self.acting.timers.call_later(
+                ASK_AGAIN_S,
+                lambda: self._ask(worker, asks_left),
             )
 
     def _has_streams(self, worker: fleet.Worker) -> bool:
@@ -225,15 +244,13 @@
             if held.route.kind is models.RouteKind.stream
         )
 
-    def _plan(self, worker: fleet.Worker, left_s: float | None) -> None:
+    def _plan(self, worker: fleet.Worker, left_s: float) -> None:
         self.acting.log.write(
             'worker leaves',
             worker.entry.name,
             left_s=left_s,
             running=worker.running,
         )
-        if left_s is None:
-            return
         timers = self.acting.timers
         copy_in_s = max(0, left_s - COPY_BEFORE_S)
         stop_in_s = max(copy_in_s + SETTLE_S, left_s - STOP_BEFORE_S)
