--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -1,8 +1,9 @@
 """Moves running streams from a worker that is about to be reclaimed.
 
-A stream's memory is copied while it runs; shortly before the worker goes the
-run is stopped, the rest copied, and the stream goes on at the other worker
-within the caller's answer. Streams that may be resumed need no move.
+Shortly before the worker goes a run is stopped and its memory copied, and the
+stream goes on at the other worker within the caller's answer. Copies are
+priced, so none is made of a stream that may still end in time. Streams that
+may be resumed need no move.
 """
 
 import dataclasses
@@ -15,13 +16,11 @@
 if TYPE_CHECKING:
     from citronjunction.gateway import flow
 
-# A copy takes 50 to 100 ms and a worker's copies follow each other, so a
-# worker with ten streams needs about a second.
-COPY_BEFORE_S = 1.7  # before the worker goes
-STOP_BEFORE_S = 0.8  # before the worker goes; the rest of a copy is short
+# A copy takes 50 to 100 ms and a worker's copies follow each other; its report
+# of the time left is some hundred ms old.
+STOP_BEFORE_S = 0.9  # before the worker goes
 ASK_AGAIN_S = 0.25  # a worker's report is some hundred ms old
 MAX_ASKS = 3  # a worker that drains without a time tells none
-SETTLE_S = 0.2  # shortest time between copy and stop
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -57,13 +56,8 @@
         request: str,
         target: str,
         on_result: abc.Callable[[MoveResult], None],
-        *,
-        stops: bool,
     ) -> None:
-        """Copy the memory of a run, and stop the run first if told to."""
-
-    def drop(self, source: str, handle: str) -> None:
-        """Free a copy that is not needed."""
+        """Stop a run and copy its memory."""
 
     def read_time_left(
         self,
@@ -86,7 +80,6 @@
 
     __slots__ = (
         'flow',
-        'handle',
         'is_broken',
         'mover',
         'phase',
@@ -108,25 +101,18 @@
         self.target = target
         self.mover = mover
         self.phase = Phase.running
-        self.handle = ''
         self.result: MoveResult | None = None
         self.is_broken = False
 
-    def copy(self) -> None:
-        """Copy what there is while the run goes on."""
-        self._move(self._on_copied, stops=False)
-
     def stop(self) -> None:
-        """Stop the run at the source and copy the rest."""
-        if self.phase is not Phase.running:
-            return
-        if self._is_needed():
-            self.phase = Phase.stopping
-            self._move(self._on_stopped, stops=True)
-            return
-        self.phase = Phase.over
-        if self.handle:
-            self.mover.drop(self.source.entry.address, self.handle)
+        """Stop the run at the source and copy its memory."""
+        self.phase = Phase.stopping
+        self.mover.move(
+            self.source.entry.address,
+            self.flow.request.name,
+            self.target.entry.address,
+            self._on_stopped,
+        )
 
     def take_break(self) -> bool:
         """Tell whether a broken stream is one that this move stopped."""
@@ -136,31 +122,6 @@
         self._go_on()
         return True
 
-    def _is_needed(self) -> bool:
-        running = self.flow.attempt
-        return running is not None and running.worker is self.source
-
-    def _move(
-        self,
-        on_result: abc.Callable[[MoveResult], None],
-        *,
-        stops: bool,
-    ) -> None:
-        self.mover.move(
-            self.source.entry.address,
-            self.flow.request.name,
-            self.target.entry.address,
-            on_result,
-            stops=stops,
-        )
-
-    def _on_copied(self, result: MoveResult) -> None:
-        match result:
-            case Moved(handle=handle) | Kept(handle=handle):
-                self.handle = handle
-                if self.phase is Phase.over:
-                    self.mover.drop(self.source.entry.address, handle)
-
     def _on_stopped(self, result: MoveResult) -> None:
         self.result = result
         if isinstance(result, NotMoved) and not self.is_broken:
@@ -252,23 +213,12 @@
             running=worker.running,
         )
         timers = self.acting.timers
-        copy_in_s = max(0, left_s - COPY_BEFORE_S)
-        stop_in_s = max(copy_in_s + SETTLE_S, left_s - STOP_BEFORE_S)
-        timers.call_later(copy_in_s, lambda: self._copy(worker))
+        stop_in_s = max(0, left_s - STOP_BEFORE_S)
         timers.call_later(stop_in_s, lambda: self._stop(worker))
 
-    def _copy(self, worker: fleet.Worker) -> None:
-        for held in self._select(worker):
-            self._relocate(held, worker)
-            if held.relocation is not None:
-                held.relocation.copy()
-
     def _stop(self, worker: fleet.Worker) -> None:
         for held in self._select(worker):
-            if held.relocation is None:
-                self._relocate(held, worker)
-            if held.relocation is not None:
-                held.relocation.stop()
+            self._relocate(held, worker)
 
     def _select(self, worker: fleet.Worker) -> list['flow.Flow']:
         return [held for held in self.acting.flows if _is_movable(held, worker)]
@@ -289,6 +239,7 @@
                 found.worker,
                 self.mover,
             )
+            held.relocation.stop()
 
 
 def _is_movable(held: 'flow.Flow', worker: fleet.Worker) -> bool:
--- a/citronjunction/platform/memory_moves.py
+++ b/citronjunction/platform/memory_moves.py
@@ -2,7 +2,6 @@
 
 import json
 from collections import abc
-from urllib import parse as urls
 
 from absl import logging
 
@@ -19,7 +18,7 @@
 
 
 class MemoryMover:
-    """Call workers to copy, stop and free runs."""
+    """Call workers to stop and copy runs."""
 
     __slots__ = ('client',)
 
@@ -33,11 +32,9 @@
         request: str,
         target: str,
         on_result: abc.Callable[[relocation.MoveResult], None],
-        *,
-        stops: bool,
     ) -> None:
-        """Copy the memory of a run, and stop the run first if told to."""
-        document = {'id': request, 'target': target, 'last': stops}
+        """Stop a run and copy its memory."""
+        document = {'id': request, 'target': target, 'last': True}
         call = http_client.Call(
             source,
             'POST',
@@ -72,14 +69,6 @@
         )
         self.client.send(call, sink)
 
-    def drop(self, source: str, handle: str) -> None:
-        """Free a copy that is not needed."""
-        path = f'{names.MEMORY_HANDLE}/{urls.quote(handle, safe="")}'
-        call = http_client.Call(source, 'DELETE', path, silence_s=CALL_S)
-        # The worker frees the copy by itself soon after.
-        ignore = http_client.WholeReply(lambda _: None, lambda _: None)
-        self.client.send(call, ignore)
-
 
 def _read_time_left(reply: http_client.Reply) -> float | None:
     try:
