--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -2,27 +2,24 @@
 
 from citronjunction.attempts import suspects
 from citronjunction.gateway import (
+    admitting,
+    assigning,
     attempt,
     choosing,
     evidence,
+    fleet,
     judging,
     models,
     outlet,
-    quotas,
     recording,
+    relocation,
     services,
 )
 from citronjunction.transport import deadlines, front
 from citronjunction.verdicts import models as verdicts
 
-CONNECT_S = 0.3  # a worker accepts within milliseconds, unless it is gone
-FRESH_IDLE_S = 1.0  # reuse of connections by requests that may run once
-LONG_IDLE_S = 8.0
 RETRY_AFTER_S = 0.3  # a full worker frees a slot within a few answers
 GATEWAY_TIMEOUT = 504  # HTTP status
-OVER_QUOTA = 429  # HTTP status
-MAX_PRIORITY = 9  # least urgent
-MIN_TIME_LEFT_S = 0.02  # shorter than any answer takes
 
 
 class Flow:
@@ -43,11 +40,13 @@
         'last_event',
         'organisation',
         'outlet',
+        'relocation',
         'request',
         'route',
         'run',
         'tried',
         'upstream',
+        'urgency',
     )
 
     def __init__(
@@ -77,10 +76,14 @@
             request.body,
         )
         self.attempt: attempt.Attempt | None = None
-        self.tried: list[object] = []
+        self.tried: list[fleet.Worker] = []
+        self.relocation: relocation.Relocation | None = None
         self.cost: float = 0
         self.last_event = request.last_event
         self.upstream = ''
+        self.urgency = fleet.get_urgency(
+            assigning.get_rank(route, organisation),
+        )
         self.expected_s: float | None = None
         self.first_s: float | None = None
         self.is_trial = False
@@ -102,12 +105,18 @@
             delay_s = acting.settings.attempts.suspect_s
             self._finish(verdicts.NotRun(text, delay_s, code='suspect_request'))
             return
-        over = self._charge(now)
-        if over is not None:
-            self._finish(over)
-            return
-        self.upstream = self._draw_upstream()
-        self.is_trial = acting.rollouts.draws_trial(self.upstream)
+        if self.organisation is not None:
+            charged = admitting.charge(
+                acting,
+                self.organisation,
+                self.request.prompt,
+            )
+            if isinstance(charged, verdicts.NotRun):
+                self._finish(charged)
+                return
+            self.cost = charged
+        self.upstream = assigning.draw_upstream(self.route, acting.random)
+        self.is_trial = acting.rollouts.draws_trial(self.upstream, now)
         acting.get_budget(self.upstream).record_request(now)
         tokens = self.request.prompt.prompt_tokens if self.request.prompt else 1
         offered = acting.offered
@@ -169,7 +178,14 @@
     ) -> None:
         """Try again, go on elsewhere, or give up."""
         self._close_attempt(source, is_good=None)
-        judging.note_failure(self.acting, source.worker, failed)
+        if self.relocation is not None and self.relocation.take_break():
+            return
+        judging.note_failure(
+            self.acting,
+            source.worker,
+            self._name_route(source),
+            failed,
+        )
         if failed.code == 'connection_lost':
             self.acting.on_suspect(self.fingerprint, source.worker.entry.name)
         if failed.evidence is evidence.Evidence.may_have_run:
@@ -179,6 +195,21 @@
             return
         self._give_up(failed)
 
+    def go_on_at(self, worker: fleet.Worker, memory: str) -> None:
+        """Go on with a stopped run from the copy of its memory."""
+        if not self.is_over:
+            now = self.acting.timers.now()
+            self._send(choosing.Candidate(worker, 0, 0, 0), now, memory)
+
+    def end_broken(self, failed: evidence.Failed) -> None:
+        """End a stream that cannot go on."""
+        self.run.note(failed)
+        self._give_up(failed)
+
+    def allows(self, worker: fleet.Worker) -> bool:
+        """Tell whether the request may go to a worker's version."""
+        return self.acting.rollouts.allows(worker, is_trial=self.is_trial)
+
     def cancel(self, reason: str) -> None:
         """Drop the request without an answer."""
         if self.is_over:
@@ -188,37 +219,16 @@
             self._close_attempt(self.attempt, is_good=None)
         self._close(reason, 0)
 
-    def _charge(self, now: float) -> verdicts.NotRun | None:
-        if self.organisation is None:
-            return None
-        cost = quotas.compute_cost(self.organisation, self.request.prompt)
-        over = self.acting.quotas.admit(self.organisation, cost, now)
-        if over is None:
-            self.cost = cost
-            return None
-        text = (
-            f'{self.organisation.name} used {over.used:.0f} of {over.limit:.0f}'
-            f' and asks for {cost:.0f} more'
-        )
-        return verdicts.NotRun(text, over.wait_s, OVER_QUOTA, 'over_quota')
-
-    def _draw_upstream(self) -> str:
-        targets = self.route.targets
-        if len(targets) == 1:
-            return targets[0].upstream
-        weights = [target.weight for target in targets]
-        drawn = self.acting.random.choices(targets, weights)
-        return drawn[0].upstream
-
     def _try_worker(self) -> None:
         acting = self.acting
         now = acting.timers.now()
         found = acting.chooser.choose(
             self.upstream,
             self.request.prompt,
+            self.urgency,
             self.tried,
             now,
-            self._allows,
+            self.allows,
         )
         if found is None and self.is_trial:
             self.is_trial = False
@@ -234,39 +244,19 @@
                 ),
             )
             return
-        shed = self._shed(found)
-        if shed is not None:
-            self._finish(shed)
-            return
+        if self.request.prompt is not None and not self.run.dials:
+            shed = admitting.shed(acting, self.route, found)
+            if shed is not None:
+                self._finish(shed)
+                return
         self._send(found, now)
 
-    def _shed(self, found: choosing.Candidate) -> verdicts.NotRun | None:
-        if self.run.dials or self.request.prompt is None:
-            return None
-        shed = self.acting.shedder.judge(
-            self.upstream,
-            self._get_rank(),
-            found.queue_s,
-        )
-        if shed is None:
-            return None
-        text = (
-            f'prompts wait {shed.queue_s:.2f} s at the best worker of'
-            f' {self.upstream}, over {shed.limit_s:.2f} s'
-        )
-        delay_s = shed.retry_after_s * (0.5 + self.acting.random.random())
-        return verdicts.NotRun(text, delay_s, code='overloaded')
-
-    def _get_rank(self) -> int:
-        organisation = self.organisation
-        if organisation is not None and organisation.rank is not None:
-            return organisation.rank
-        return self.route.rank
-
-    def _allows(self, worker: object) -> bool:
-        return self.acting.rollouts.allows(worker, is_trial=self.is_trial)
-
-    def _send(self, found: choosing.Candidate, now: float) -> None:
+    def _send(
+        self,
+        found: choosing.Candidate,
+        now: float,
+        memory: str = '',
+    ) -> None:
         worker = found.worker
         self.expected_s = found.wait_s
         self.tried.append(worker)
@@ -283,38 +273,32 @@
         worker.running += 1
         if self.request.prompt is not None:
             made.unread = found.unread_tokens
-            worker.unread_tokens += made.unread
+            made.read = found.unread_tokens
+            worker.unread[self.urgency] += made.unread
         call = self.acting.codec.encode_call(
             self.request,
-            self._assign(worker, now),
+            assigning.build_assignment(
+                self.route,
+                self.organisation,
+                worker,
+                self.deadline_at - now,
+                self.last_event,
+                memory,
+            ),
         )
         made.call = self.acting.client.send(call, made)
 
-    def _assign(self, worker: object, now: float) -> models.Assignment:
-        organisation = self.organisation
-        is_prompt = self.request.prompt is not None
-        max_idle_s = LONG_IDLE_S if self.route.is_idempotent else FRESH_IDLE_S
-        return models.Assignment(
-            worker.entry.name,
-            worker.entry.address,
-            max(MIN_TIME_LEFT_S, self.deadline_at - now),
-            organisation.name if organisation else '',
-            min(MAX_PRIORITY, self._get_rank()) if is_prompt else None,
-            self.last_event,
-            CONNECT_S,
-            max_idle_s,
-        )
-
     def _try_again(self, failed: evidence.Failed) -> bool:
         now = self.acting.timers.now()
-        if self.deadline_at - now < MIN_TIME_LEFT_S:
+        if self.deadline_at - now < assigning.MIN_TIME_LEFT_S:
             return False
         if self.outlet.is_started and not self.route.can_resume:
             return False
         match evidence.decide(self.run, failed, RETRY_AFTER_S):
             case evidence.SendAgain(is_retry=is_retry):
                 budget = self.acting.get_budget(self.upstream)
-                if is_retry and not budget.spend(self.acting.entries, now):
+                entries = self.acting.quotas.count_entries()
+                if is_retry and not budget.spend(entries, now):
                     return False
                 recording.record_retry(self, failed)
                 self._try_worker()
@@ -367,12 +351,22 @@
         self._release_prompt(source)
         source.worker.running -= 1
         if is_good is not None:
-            judging.note_answer(self.acting, source.worker, is_good=is_good)
+            now = self.acting.timers.now()
+            judging.note_answer(
+                self.acting,
+                source.worker,
+                self._name_route(source),
+                is_good=is_good,
+                latency_s=(source.first_at or now) - source.sent_at,
+            )
         if is_good:
             self.acting.suspects.clear(self.fingerprint)
 
+    def _name_route(self, source: attempt.Attempt) -> str:
+        return judging.name_route(self.route, source.read)
+
     def _release_prompt(self, source: attempt.Attempt) -> None:
-        source.worker.unread_tokens -= source.unread
+        source.worker.unread[self.urgency] -= source.unread
         source.unread = 0
 
     def _note_begun(self) -> None:
--- a/citronjunction/gateway/judging.py
+++ b/citronjunction/gateway/judging.py
@@ -1,16 +1,25 @@
 """What answers and failures tell about a worker."""
 
-from citronjunction.gateway import evidence, fleet, services
+from citronjunction.gateway import evidence, fleet, models, services
+
+UNCACHED_BOUNDS = (512, 4096)  # prompt tokens; sizes whose latencies compare
 
 
 def note_answer(
     acting: services.Services,
     worker: fleet.Worker,
+    route: str,
     *,
     is_good: bool,
+    latency_s: float,
 ) -> None:
     """Count an answer for or against a worker and its version."""
-    acting.rollouts.record(worker, is_good=is_good)
+    acting.rollouts.record(
+        worker,
+        route,
+        is_good=is_good,
+        latency_s=latency_s,
+    )
     if is_good:
         worker.health.record_success()
     elif worker.health.record_failure(acting.timers.now()):
@@ -20,6 +29,7 @@
 def note_failure(
     acting: services.Services,
     worker: fleet.Worker,
+    route: str,
     failed: evidence.Failed,
 ) -> None:
     """Eject a worker that cannot be reached, or forget one that is gone."""
@@ -30,7 +40,7 @@
             acting.client.drop_idle(worker.entry.address)
             _log_ejection(acting, worker, failed.reason)
         case evidence.Evidence.may_have_run:
-            acting.rollouts.record(worker, is_good=False)
+            acting.rollouts.record(worker, route, is_good=False, latency_s=0)
             if worker.health.record_failure(now):
                 _log_ejection(acting, worker, failed.reason)
         case evidence.Evidence.refused if failed.code == 'misdirected':
@@ -38,6 +48,12 @@
             _log_ejection(acting, worker, failed.reason)
 
 
+def name_route(route: models.Route, unread_tokens: int) -> str:
+    """Name a route with the size of what the worker must read."""
+    size = sum(unread_tokens >= bound for bound in UNCACHED_BOUNDS)
+    return f'{route.name}#{size}' if route.is_prompt else route.name
+
+
 def _log_ejection(
     acting: services.Services,
     worker: fleet.Worker,
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -204,7 +204,7 @@
     """State what an attempt tells the worker besides the request itself.
 
     ``priority`` 0 is the most urgent; ``last_event`` is where a stream goes
-    on.
+    on, ``memory`` names the copy of its run's memory.
     """
 
     worker: str
@@ -215,6 +215,7 @@
     last_event: str
     connect_s: float
     max_idle_s: float
+    memory: str = ''
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -263,7 +264,6 @@
     """Hold what a worker registered about itself.
 
     ``born_ms`` tells apart the starts of a worker that keeps its name.
-    ``leaves_in_s`` is known after a reclaim notice.
     """
 
     name: str
@@ -276,7 +276,6 @@
     is_reclaimable: bool
     born_ms: int
     cold_s: float
-    leaves_in_s: float | None
 
 
 class RolloutState(enum.Enum):
--- /dev/null
+++ b/citronjunction/gateway/relocation.py
@@ -0,0 +1,249 @@
+"""Moves running streams from a worker that is about to be reclaimed.
+
+Shortly before the worker goes a run is stopped and its memory copied, and the
+stream goes on at the other worker within the caller's answer. Copies are
+priced, so none is made of a stream that may still end in time. Streams that
+may be resumed need no move.
+"""
+
+import dataclasses
+import enum
+from collections import abc
+from typing import TYPE_CHECKING, Protocol, Union
+
+from citronjunction.gateway import evidence, fleet, models, services
+
+if TYPE_CHECKING:
+    from citronjunction.gateway import flow
+
+# A copy takes 50 to 100 ms and a worker's copies follow each other; its report
+# of the time left is some hundred ms old.
+STOP_BEFORE_S = 0.9  # before the worker goes
+ASK_AGAIN_S = 0.25  # a worker's report is some hundred ms old
+MAX_ASKS = 3  # a worker that drains without a time tells none
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Moved:
+    """Report that the memory of a run is at the target under a handle."""
+
+    handle: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Kept:
+    """Report that the memory of a stopped run stayed at the source."""
+
+    handle: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NotMoved:
+    """Report that nothing was copied."""
+
+    reason: str
+
+
+MoveResult = Union[Moved, Kept, NotMoved]
+
+
+class Mover(Protocol):
+    """Move the memory of runs between workers."""
+
+    def move(
+        self,
+        source: str,
+        request: str,
+        target: str,
+        on_result: abc.Callable[[MoveResult], None],
+    ) -> None:
+        """Stop a run and copy its memory."""
+
+    def read_time_left(
+        self,
+        source: str,
+        on_read: abc.Callable[[float | None], None],
+    ) -> None:
+        """Ask a worker in how many seconds it goes, if it knows."""
+
+
+class Phase(enum.Enum):
+    """Tell how far a relocation is."""
+
+    running = 'running'
+    stopping = 'stopping'
+    over = 'over'
+
+
+class Relocation:
+    """Take one stream from one worker to another."""
+
+    __slots__ = (
+        'flow',
+        'is_broken',
+        'mover',
+        'phase',
+        'result',
+        'source',
+        'target',
+    )
+
+    def __init__(
+        self,
+        held: 'flow.Flow',
+        source: fleet.Worker,
+        target: fleet.Worker,
+        mover: Mover,
+    ) -> None:
+        """Take the stream, both workers and who moves memory."""
+        self.flow = held
+        self.source = source
+        self.target = target
+        self.mover = mover
+        self.phase = Phase.running
+        self.result: MoveResult | None = None
+        self.is_broken = False
+
+    def stop(self) -> None:
+        """Stop the run at the source and copy its memory."""
+        self.phase = Phase.stopping
+        self.mover.move(
+            self.source.entry.address,
+            self.flow.request.name,
+            self.target.entry.address,
+            self._on_stopped,
+        )
+
+    def take_break(self) -> bool:
+        """Tell whether a broken stream is one that this move stopped."""
+        if self.phase is not Phase.stopping:
+            return False
+        self.is_broken = True
+        self._go_on()
+        return True
+
+    def _on_stopped(self, result: MoveResult) -> None:
+        self.result = result
+        if isinstance(result, NotMoved) and not self.is_broken:
+            # The run has ended, or goes on at the source.
+            self.phase = Phase.over
+            return
+        self._go_on()
+
+    def _go_on(self) -> None:
+        if self.result is None or not self.is_broken:
+            return
+        self.phase = Phase.over
+        source = self.source.entry.address
+        self.flow.acting.log.write(
+            'move stream',
+            self.flow.request.name,
+            source=self.source.entry.name,
+            target=self.target.entry.name,
+            result=type(self.result).__name__,
+            last_event=self.flow.last_event,
+        )
+        match self.result:
+            case Moved(handle=handle):
+                self.flow.go_on_at(self.target, f'{source}/{handle}')
+            case Kept(handle=handle):
+                self.flow.go_on_at(self.source, f'{source}/{handle}')
+            case NotMoved(reason=reason):
+                self.flow.end_broken(
+                    evidence.Failed(
+                        evidence.Evidence.may_have_run,
+                        f'the move of the stream failed: {reason}',
+                        'move_failed',
+                    ),
+                )
+
+
+class Evacuation:
+    """Relocate the streams of workers that are being reclaimed."""
+
+    def __init__(self, acting: services.Services, mover: Mover) -> None:
+        """Take the flows and who moves memory."""
+        self.acting = acting
+        self.mover = mover
+
+    def schedule(self, worker: fleet.Worker) -> None:
+        """Plan the moves off a worker that has begun to drain."""
+        configuration = self.acting.configuration
+        if configuration is None:
+            return
+        policy = configuration.upstreams.get(worker.entry.upstream)
+        engine = policy and policy.engine
+        if engine is None or not engine.can_move:
+            return
+        self._ask(worker, MAX_ASKS)
+
+    def _ask(self, worker: fleet.Worker, asks_left: int) -> None:
+        if self._has_streams(worker):
+            self.mover.read_time_left(
+                worker.entry.address,
+                lambda left_s: self._take_time(worker, left_s, asks_left - 1),
+            )
+
+    def _take_time(
+        self,
+        worker: fleet.Worker,
+        left_s: float | None,
+        asks_left: int,
+    ) -> None:
+        if left_s is not None:
+            self._plan(worker, left_s)
+        elif asks_left:
+            self.acting.timers.call_later(
+                ASK_AGAIN_S,
+                lambda: self._ask(worker, asks_left),
+            )
+
+    def _has_streams(self, worker: fleet.Worker) -> bool:
+        return any(
+            held.attempt is not None and held.attempt.worker is worker
+            for held in self.acting.flows
+            if held.route.kind is models.RouteKind.stream
+        )
+
+    def _plan(self, worker: fleet.Worker, left_s: float) -> None:
+        self.acting.log.write(
+            'worker leaves',
+            worker.entry.name,
+            left_s=left_s,
+            running=worker.running,
+        )
+        timers = self.acting.timers
+        stop_in_s = max(0, left_s - STOP_BEFORE_S)
+        timers.call_later(stop_in_s, lambda: self._stop(worker))
+
+    def _stop(self, worker: fleet.Worker) -> None:
+        for held in self._select(worker):
+            self._relocate(held, worker)
+
+    def _select(self, worker: fleet.Worker) -> list['flow.Flow']:
+        return [held for held in self.acting.flows if _is_movable(held, worker)]
+
+    def _relocate(self, held: 'flow.Flow', worker: fleet.Worker) -> None:
+        found = self.acting.chooser.choose(
+            held.upstream,
+            held.request.prompt,
+            0,
+            (worker,),
+            self.acting.timers.now(),
+            held.allows,
+        )
+        if found is not None:
+            held.relocation = Relocation(
+                held,
+                worker,
+                found.worker,
+                self.mover,
+            )
+            held.relocation.stop()
+
+
+def _is_movable(held: 'flow.Flow', worker: fleet.Worker) -> bool:
+    if held.attempt is None or held.attempt.worker is not worker:
+        return False
+    is_stream = held.route.kind is models.RouteKind.stream
+    return is_stream and held.outlet.is_started and not held.route.can_resume
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -34,6 +34,13 @@
     ) -> models.Rollout | None:
         """Decode an order to move an upstream."""
 
+    def encode_rollout_status(
+        self,
+        target: str,
+        state: models.RolloutState,
+    ) -> dict[str, object]:
+        """Encode how far a rollout is."""
+
 
 class Watcher:
     """Mirror configuration, workers and rollouts."""
@@ -186,6 +193,8 @@
         known = acting.fleet.workers.get(entry.name)
         before = known and known.entry
         worker = acting.fleet.register(entry, acting.timers.now())
+        if worker.is_draining and not _is_draining(before):
+            acting.on_leaving(worker)
         if before is None or _is_news(before, entry):
             acting.log.write(
                 'worker',
@@ -195,14 +204,14 @@
                 state=entry.state.value,
                 version=entry.version,
                 is_reclaimable=entry.is_reclaimable,
-                leaves_in_s=entry.leaves_in_s,
                 revision=record.revision,
                 running=worker.total_running,
             )
 
     def _take_rollout(self, record: records.Record) -> None:
         rollout = self.decoder.decode_rollout(record)
-        if rollout is not None and self.acting.rollouts.take(rollout):
+        now = self.acting.timers.now()
+        if rollout is not None and self.acting.rollouts.take(rollout, now):
             self.acting.log.write(
                 'rollout',
                 rollout.upstream,
@@ -211,6 +220,10 @@
             )
 
 
+def _is_draining(entry: models.WorkerEntry | None) -> bool:
+    return entry is not None and entry.state is models.WorkerState.draining
+
+
 def _is_news(before: models.WorkerEntry, after: models.WorkerEntry) -> bool:
     return (before.state, before.born_ms, before.version) != (
         after.state,
