Keep counts of open usage windows in the store

Test: counts outlive the end of all entries (failed before), and a living entry is not counted twice.

--- a/citronjunction/duties/usage.py
+++ b/citronjunction/duties/usage.py
@@ -3,9 +3,11 @@
 from collections import abc
 
 TOLD_WINDOWS = 3  # the current one and those not yet reported
+SEPARATOR = '/'  # between an entry's name and its incarnation
 KEPT_WINDOWS = 6  # a report is due two windows after its end
 
 Counts = dict[str, dict[str, int]]
+Snapshot = dict[str, Counts]  # by entry and incarnation
 
 
 class UsageLedger:
@@ -15,10 +17,12 @@
     reports do no harm.
     """
 
-    __slots__ = ('own', 'peers', 'window_s')
+    __slots__ = ('incarnation', 'name', 'own', 'peers', 'window_s')
 
-    def __init__(self, window_s: float) -> None:
-        """Take the length of a window in seconds."""
+    def __init__(self, window_s: float, name: str, incarnation: int) -> None:
+        """Take the length of a window in seconds and who counts."""
+        self.name = name
+        self.incarnation = incarnation
         self.window_s = window_s
         self.own: Counts = {}
         self.peers: dict[tuple[str, int], Counts] = {}
@@ -48,6 +52,41 @@
             newest = max(int(window) for window in held)
             _drop_before(held, newest - KEPT_WINDOWS)
 
+    def export(self) -> Snapshot:
+        """Return the counts of all entries and incarnations."""
+        self._prune()
+        held = {(self.name, self.incarnation): self.own, **self.peers}
+        return {
+            f'{name}{SEPARATOR}{incarnation}': {
+                window: dict(counts) for window, counts in windows.items()
+            }
+            for (name, incarnation), windows in held.items()
+            if windows
+        }
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Take counts of entries that may have ended; higher ones stand."""
+        for key, windows in snapshot.items():
+            name, _, incarnation = key.rpartition(SEPARATOR)
+            if (name, int(incarnation)) == (self.name, self.incarnation):
+                continue
+            held = self.peers.setdefault((name, int(incarnation)), {})
+            for window, counts in windows.items():
+                known = held.setdefault(window, {})
+                for organisation, count in counts.items():
+                    known[organisation] = max(
+                        count,
+                        known.get(organisation, 0),
+                    )
+
+    def _prune(self) -> None:
+        windows = {window for held in self.peers.values() for window in held}
+        newest = max(map(int, windows | set(self.own)), default=0)
+        for key, held in tuple(self.peers.items()):
+            _drop_before(held, newest - KEPT_WINDOWS)
+            if not held:
+                self.peers.pop(key)
+
     def sum_up(self, window: int) -> abc.Mapping[str, int]:
         """Return the requests of all entries in a window."""
         total: dict[str, int] = {}
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -5,6 +5,7 @@
 from citronjunction.attempts import suspects
 from citronjunction.conf import models as conf
 from citronjunction.duties import (
+    checkpoint,
     clock,
     holder,
     moving,
@@ -66,7 +67,16 @@
         self.announced_at: float = 0
         self.clock = clock.SteadyClock(timers)
         self.log = decisions.DecisionLog(self.name, self.clock.now)
-        self.ledger = usage.UsageLedger(settings.duties.usage_window_s)
+        self.ledger = usage.UsageLedger(
+            settings.duties.usage_window_s,
+            self.name,
+            self.incarnation,
+        )
+        self.checkpoint = checkpoint.Checkpoint(
+            adapter.store,
+            timers,
+            self.ledger,
+        )
         workers = fleet.Fleet()
         self.acting = services.Services(
             settings,
@@ -247,10 +257,14 @@
     def _do_duties(self) -> None:
         self.holder.tick()
         self.sharing.is_holder = self.holder.get_fence() is not None
-        if self.sharing.is_holder:
+        if not self.sharing.is_holder:
+            self.checkpoint.forget()
+            return
+        self.checkpoint.step()
+        if self.checkpoint.is_read:
             self.reporter.step(self.holder.get_fence)
-            self.orderer.step(self.holder.get_fence)
-            self.mover.step(self.holder.get_fence)
+        self.orderer.step(self.holder.get_fence)
+        self.mover.step(self.holder.get_fence)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/duties/test_holder.py
+++ b/tests/duties/test_holder.py
@@ -163,10 +163,36 @@
 
 
 def test_counts_of_a_restarted_peer_add_up():
-    ledger = usage.UsageLedger(5.0)
+    ledger = usage.UsageLedger(5.0, 'own', 1)
     ledger.note('org', 1000.0)
     ledger.take_report('peer', 1, {'200': {'org': 3}})
     ledger.take_report('peer', 2, {'200': {'org': 2}})
     ledger.take_report('peer', 2, {'200': {'org': 2}})
 
     assert ledger.sum_up(200) == {'org': 6}
+
+
+def test_counts_outlive_the_end_of_all_entries(deployed):
+    ask_for(deployed, 4)
+    deployed.world.run(1.5)
+    for host in tuple(deployed.gateway_hosts.values()):
+        host.kill()
+    deployed.world.run(0.7)
+    for number in range(3, 6):
+        deployed.add_gateway(f'gateway-{number}')
+    deployed.world.run(14)
+
+    reports = check_reports(deployed)
+    check_fences(deployed)
+    assert sum(counts['org'] for counts in reports.values()) == 8
+
+
+def test_a_checkpoint_does_not_count_a_living_entry_twice():
+    ledger = usage.UsageLedger(5.0, 'own', 1)
+    ledger.note('org', 1000.0)
+    ledger.take_report('peer', 1, {'200': {'org': 3}})
+    saved = ledger.export()
+    ledger.take_report('peer', 1, {'200': {'org': 4}})
+    ledger.restore(saved)
+
+    assert ledger.sum_up(200) == {'org': 5}
