--- a/citronjunction/commands/citronctl.py
+++ b/citronjunction/commands/citronctl.py
@@ -10,6 +10,7 @@
     settings,
     status,
     token,
+    trace,
     validate,
 )
 
@@ -30,6 +31,7 @@
 app.command('status')(status.run)
 app.command('history')(history.run)
 app.command('explain')(explain.run)
+app.command('trace')(trace.run)
 app.command('settings')(settings.run)
 app.command('token')(token.run)
 
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -10,7 +10,8 @@
 
 from citronjunction.gateway import models
 
-SILENT_S = 1.2  # several intervals between the reports of a peer
+SILENT_INTERVALS = 4  # without a report until a peer counts as silent
+START_INTERVAL_S = 0.25  # between the reports of a peer in a small fleet
 # A silent peer may be cut off and still serve; longer than cuts last.
 RESERVED_S = 60.0
 UNKNOWN_PEERS = 7  # entries assumed until peers are heard
@@ -74,11 +75,12 @@
 class Quotas:
     """Admit requests within the quotas; times are monotonic seconds."""
 
-    __slots__ = ('peers', 'sums', 'used', 'window_s')
+    __slots__ = ('peers', 'silent_s', 'sums', 'used', 'window_s')
 
     def __init__(self, window_s: float) -> None:
         """Take the window; the peers' use is not yet known."""
         self.window_s = window_s
+        self.silent_s = SILENT_INTERVALS * START_INTERVAL_S
         self.sums: dict[str, SlidingSum] = {}
         self.peers: dict[str, Peer] = {}
         self.used: dict[str, float] = {}
@@ -134,6 +136,10 @@
             if rise:
                 self._get_sum(organisation).add(rise, now)
 
+    def set_interval(self, interval_s: float) -> None:
+        """Learn how often peers report."""
+        self.silent_s = SILENT_INTERVALS * interval_s
+
     def note_leaving(self, name: str) -> None:
         """Learn that a peer stops; it needs no part once it is silent."""
         peer = self.peers.get(name)
@@ -143,7 +149,7 @@
     def expire(self, now: float) -> None:
         """Drop peers that have left or are silent for long."""
         for name, peer in tuple(self.peers.items()):
-            limit_s = SILENT_S if peer.is_leaving else RESERVED_S
+            limit_s = self.silent_s if peer.is_leaving else RESERVED_S
             if now - peer.heard_at > limit_s:
                 self.peers.pop(name)
 
@@ -161,7 +167,7 @@
     def _get_share(self, now: float) -> float:
         """Return the part of a quota that this entry sees the use of."""
         heard = sum(
-            now - peer.heard_at <= SILENT_S for peer in self.peers.values()
+            now - peer.heard_at <= self.silent_s for peer in self.peers.values()
         )
         return (1 + heard) / self.count_entries()
 
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -6,6 +6,10 @@
 from citronjunction.peering import node
 
 INTERVAL_S = 0.25  # between reports; quotas overshoot by this much use
+# Each report reaches every entry, so the interval grows with the fleet beyond
+# this size, for the same bytes an entry.
+SMALL_FLEET = 8
+LOST_INTERVALS = 4  # without a report until a peer's load is dropped
 
 
 class Sharing:
@@ -33,7 +37,12 @@
 
     def start(self) -> None:
         """Start to publish."""
-        self.acting.timers.call_every(INTERVAL_S, self.publish)
+        self._publish_again()
+
+    def get_interval_s(self) -> float:
+        """Return the time between reports at the present fleet size."""
+        entries = 1 + len(self.loads)
+        return INTERVAL_S * max(1, entries / SMALL_FLEET)
 
     def publish(self) -> None:
         """Tell the load of this entry; it is also its sign of life."""
@@ -55,6 +64,13 @@
             ),
         )
 
+    def _publish_again(self) -> None:
+        self.publish()
+        self.acting.timers.call_later(
+            self.get_interval_s(),
+            self._publish_again,
+        )
+
     def take(self, fact: facts.LoadState) -> None:
         """Merge what a peer told."""
         if fact.name == self.peers.own_name:
@@ -91,11 +107,15 @@
         for name in tuple(self.loads):
             if not self._is_live(name, now):
                 self.loads.pop(name)
+        self.acting.quotas.set_interval(self.get_interval_s())
         self.acting.quotas.expire(now)
         self._merge_loads(now)
 
     def _is_live(self, name: str, now: float) -> bool:
-        limit_s = self.acting.settings.membership.lost_after_s
+        limit_s = max(
+            self.acting.settings.membership.lost_after_s,
+            LOST_INTERVALS * self.get_interval_s(),
+        )
         return now - self.heard_at.get(name, 0) <= limit_s
 
     def _merge_loads(self, now: float) -> None:
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -8,6 +8,9 @@
 BURST = 2000.0
 WINDOW_S = 8.0
 LIMIT = RATE * WINDOW_S + BURST
+# The deployments allow a tenth more and 140,000 tokens, 0.18 of their limits.
+ALLOWED = LIMIT * 1.28
+FLOOD = RATE * 7.5 / 1.8  # 7.5 times the usual use, a 1.8th of the rate
 QUOTA = models.Quota(RATE, BURST, models.QuotaUnit.tokens, 10)
 ORG = models.Organisation('org', None, QUOTA)
 
@@ -130,11 +133,11 @@
     for step in range(320):
         entries.now += 0.05
         for name in entries.held:
-            entries.ask(name, 100)
+            entries.ask(name, FLOOD * 0.05 / len(entries.held))
         if step % 5 == 0:
             tell_apart(entries, alone)
 
-    assert entries.measure_worst_window() <= LIMIT * 1.1 + 12 * RATE * 0.3
+    assert entries.measure_worst_window() <= ALLOWED
 
 
 def tell_apart(entries, alone):
--- /dev/null
+++ b/tests/gateway/test_sharing.py
@@ -0,0 +1,54 @@
+"""Reports of load cost each entry about the same at any fleet size."""
+
+import pytest
+
+from citronjunction.gateway import sharing
+from tests.support import platform_system
+
+
+@pytest.fixture(scope='module')
+def deployed():
+    return platform_system.PlatformSystem().build(gateways=3)
+
+
+@pytest.mark.parametrize(('entries', 'factor'), [(1, 1), (8, 1), (64, 8)])
+def test_the_interval_grows_with_the_fleet(deployed, entries, factor):
+    held = deployed.gateways['gateway-0'].sharing
+    known = held.loads
+    held.loads = {str(number): None for number in range(entries - 1)}
+
+    interval_s = held.get_interval_s()
+    held.loads = known
+
+    assert interval_s == pytest.approx(sharing.INTERVAL_S * factor)
+
+
+def test_all_entries_know_each_other_s_running_requests(deployed):
+    for held in deployed.workers.values():
+        held.behaviour.is_mute = True
+    deployed.send('/unsafe/x', gateway='gateway-1', method='POST')
+    deployed.world.run(0.8)
+
+    for gateway in deployed.gateways.values():
+        workers = gateway.acting.fleet.workers.values()
+        assert sum(worker.total_running for worker in workers) == 1
+
+
+def test_small_fleets_are_linked_directly_and_forward_nothing(deployed):
+    deployed.world.run(5)
+
+    for gateway in deployed.gateways.values():
+        assert len(gateway.peers.ready) == 2
+        assert len(gateway.peers.dialled) <= 2
+    links = [
+        (name, id(link))
+        for gateway in deployed.gateways.values()
+        for name, link in gateway.peers.ready.items()
+    ]
+    deployed.world.run(6)
+    again = [
+        (name, id(link))
+        for gateway in deployed.gateways.values()
+        for name, link in gateway.peers.ready.items()
+    ]
+    assert links == again
