Repeat what failed on trial at the proven version, outside the retry budget

Change: a request avoids a version on trial that failed it, and its repeats then spend nothing of the budget (the most attempts still bound them).

--- a/citronjunction/attempts/models.py
+++ b/citronjunction/attempts/models.py
@@ -11,7 +11,8 @@
     """Hold what decides whether a request may be tried again.
 
     ``offset`` counts tokens that the caller has, ``may_have_run`` tells
-    whether any attempt so far may have run.
+    whether any attempt so far may have run. ``failed_trial`` names a version
+    on trial that failed the request.
     """
 
     name: str
@@ -22,6 +23,7 @@
     attempts: int = 0
     offset: int = 0
     may_have_run: bool = False
+    failed_trial: str = ''
     excluded: set[str] = dataclasses.field(default_factory=set)
 
     def note_failure(self, failure: verdicts.Failure) -> None:
--- a/citronjunction/attempts/policy.py
+++ b/citronjunction/attempts/policy.py
@@ -11,11 +11,11 @@
     life: models.RequestLife,
     failure: verdicts.Failure,
     settings: conf.Attempts,
-    allowance: budget.RetryBudget,
+    allowance: budget.RetryBudget | None,
     source: random.Random,
     now: float,
 ) -> models.Decision:
-    """Decide whether a request may be tried again."""
+    """Decide whether a request may be tried again; no allowance: freely."""
     if not _may_repeat(life, failure):
         return models.GiveUp(failure)
     if life.attempts >= settings.max_attempts:
@@ -25,7 +25,9 @@
         settings.backoff_s * 2 ** max(0, life.attempts - 1),
     )
     delay_s = source.uniform(0, ceiling)
-    if now + delay_s >= life.deadline_at or not allowance.spend():
+    if now + delay_s >= life.deadline_at:
+        return models.GiveUp(failure)
+    if allowance is not None and not allowance.spend():
         return models.GiveUp(failure)
     return models.RetryAfter(delay_s)
 
--- a/citronjunction/entry/claim_driver.py
+++ b/citronjunction/entry/claim_driver.py
@@ -8,6 +8,7 @@
 from citronjunction.store import models as platform
 from citronjunction.store import object_api
 from citronjunction.transport import deadlines
+from citronjunction.verdicts import models as verdicts
 
 RECORD_RETRY_S = 1.0  # delay before a result is recorded again
 MAX_RECORD_TRIES = 3600
@@ -51,21 +52,25 @@
         """Let go of a claim whose request will not run any more."""
         self.is_over = True
 
-    def complete(self, answer: claims.KeptAnswer) -> None:
+    def keep(self, status: int, content_type: str, body: bytes) -> None:
         """Record the answer, however long that takes."""
+        answer = claims.keep_answer(status, content_type, body)
         self._record(self.claim.complete(answer))
 
-    def release(self) -> None:
-        """Record that the request was not run."""
+    def settle(self, failure: verdicts.Failure) -> None:
+        """Record what a failed request's verdict says about its run."""
+        match failure:
+            case verdicts.NotRun():
+                self._release()
+            case verdicts.MayHaveRun():
+                self._record(self.claim.lose())
+
+    def _release(self) -> None:
         if not self.claim.version:
             self._release_unknown()
             return
         self._record(self.claim.release())
 
-    def lose(self) -> None:
-        """Record that the request may have run."""
-        self._record(self.claim.lose())
-
     def _perform(self, action: claims.Action) -> None:
         match action:
             case claims.WriteClaim(record=record, expected=expected):
@@ -87,7 +92,7 @@
 
     def _decide(self, action: claims.Action) -> None:
         if self.is_over and isinstance(action, claims.Run):
-            self.release()
+            self._release()
             return
         self.on_action(action)
 
--- a/citronjunction/entry/flow.py
+++ b/citronjunction/entry/flow.py
@@ -113,7 +113,8 @@
         if self.is_over:
             return
         self.is_running = True
-        version = self.entry.choose_version(self.request.upstream)
+        avoided = self.life.failed_trial
+        version = self.entry.choose_version(self.request.upstream, avoided)
         self._try(self.chooser.choose(version), version)
 
     def _try(
@@ -209,8 +210,7 @@
             reply.body,
         )
         if self.claim is not None:
-            kept = claims.keep_answer(reply.status, content_type, reply.body)
-            self.claim.complete(kept)
+            self.claim.keep(reply.status, content_type, reply.body)
             self.claim = None
         self._close('answered')
 
@@ -222,6 +222,8 @@
         """Try again or give up."""
         self.recorder.record_failure(source, failure)
         self._finish_attempt(source)
+        if self.entry.is_on_trial(self.request.upstream, source.version):
+            self.life.failed_trial = source.version
         self._after_failure(failure)
 
     def _on_claim(self, action: claims.Action) -> None:
@@ -315,7 +317,8 @@
             self.life,
             failure,
             self.entry.settings.attempts,
-            self._get_budget(),
+            # What a trial costs must not use up what sound requests need.
+            None if self.life.failed_trial else self._get_budget(),
             self.entry.random,
             self.services.timers.now(),
         )
@@ -361,11 +364,7 @@
         failure = policy.conclude(self.life, failure)
         self.outlet.fail(failure)
         if self.claim is not None:
-            match failure:
-                case verdicts.NotRun():
-                    self.claim.release()
-                case verdicts.MayHaveRun():
-                    self.claim.lose()
+            self.claim.settle(failure)
         self._close(failure.code)
 
     def _close(self, outcome: str) -> None:
--- a/citronjunction/entry/state.py
+++ b/citronjunction/entry/state.py
@@ -113,15 +113,23 @@
             )
         return bad
 
-    def choose_version(self, spec: upstreams.UpstreamSpec) -> str:
-        """Choose the version for one request."""
+    def choose_version(
+        self,
+        spec: upstreams.UpstreamSpec,
+        avoided: str = '',
+    ) -> str:
+        """Choose the version for one attempt; it avoids one that failed it."""
         return status.choose_version(
             self.statuses.get(spec.name),
             spec.version,
-            self.get_bad_versions(spec.name),
+            self.get_bad_versions(spec.name) | {avoided},
             self.get_release(spec.name).splitter,
         )
 
+    def is_on_trial(self, spec: upstreams.UpstreamSpec, version: str) -> bool:
+        """Tell whether evidence about a version is being gathered."""
+        return self.get_release(spec.name).version == version
+
     def refresh_limit(self, upstream: str) -> None:
         """Give this entry its part of the upstream's slots."""
         workers = self.fleet.select(upstream)
