--- a/citronjunction/attempts/claims.py
+++ b/citronjunction/attempts/claims.py
@@ -13,7 +13,7 @@
 from typing import Union
 
 from citronjunction.documents import codec
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.verdicts import models as verdicts
 
 KIND = 'claims'
@@ -141,29 +141,29 @@
         """Begin with a conditional create."""
         return WriteClaim(self.own, '')
 
-    def on_write(self, result: platform.WriteResult, now: float) -> Action:
+    def on_write(self, result: store_models.WriteResult, now: float) -> Action:
         """Take the result of a write."""
         match result:
-            case platform.Stored(held=held):
+            case store_models.Stored(held=held):
                 self.version = held.version
                 return Run()
-            case platform.Conflict():
+            case store_models.Conflict():
                 return ReadClaim()
-            case platform.NotWritten(reason=reason):
+            case store_models.NotWritten(reason=reason):
                 return self._refuse_store(reason, now)
-            case platform.Unknown(reason=reason):
+            case store_models.Unknown(reason=reason):
                 return self._ask_again(reason, now)
 
-    def on_read(self, result: platform.ReadResult, now: float) -> Action:
+    def on_read(self, result: store_models.ReadResult, now: float) -> Action:
         """Take the result of a read."""
         match result:
-            case platform.Absent():
+            case store_models.Absent():
                 if now >= self.deadline_at:
                     return self._refuse_store('the claim was not written', now)
                 return WriteClaim(self.own, '')
-            case platform.Unknown(reason=reason):
+            case store_models.Unknown(reason=reason):
                 return self._ask_again(reason, now)
-            case platform.Stored(held=held):
+            case store_models.Stored(held=held):
                 return self._judge(held, now)
 
     def complete(self, answer: KeptAnswer) -> WriteClaim:
@@ -186,7 +186,7 @@
         record = dataclasses.replace(self.own, state=state, answer=answer)
         return WriteClaim(record, self.version)
 
-    def _judge(self, held: platform.StoredObject, now: float) -> Action:
+    def _judge(self, held: store_models.StoredObject, now: float) -> Action:
         record = decode_record(held.spec)
         if record is None:
             return _refuse_unknown('the claim of this key cannot be read')
--- a/citronjunction/commands/console.py
+++ b/citronjunction/commands/console.py
@@ -4,7 +4,7 @@
 from typing import Generic, TypeVar
 
 from citronjunction.conf import models as conf
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.store import object_api
 from citronjunction.transport import http_client, runtime
 from citronjunction.verdicts import models as verdicts
@@ -38,15 +38,15 @@
         self.loop = runtime.Runtime()
         self.api = object_api.ObjectApi(self.loop.client, settings.platform)
 
-    def read(self, kind: str, name: str) -> platform.ReadResult:
+    def read(self, kind: str, name: str) -> store_models.ReadResult:
         """Read one object."""
-        box = Box[platform.ReadResult](self.loop.stop)
+        box = Box[store_models.ReadResult](self.loop.stop)
         self.api.read(kind, name, box.put)
         return self._wait(box)
 
-    def select(self, kind: str) -> list[platform.StoredObject] | None:
+    def select(self, kind: str) -> list[store_models.StoredObject] | None:
         """Read all objects of a kind; nothing on failure."""
-        box = Box[list[platform.StoredObject] | None](self.loop.stop)
+        box = Box[list[store_models.StoredObject] | None](self.loop.stop)
         self.api.select(kind, box.put)
         return self._wait(box)
 
@@ -56,9 +56,9 @@
         name: str,
         spec: object,
         expected: str,
-    ) -> platform.WriteResult:
+    ) -> store_models.WriteResult:
         """Write if the version is as expected."""
-        box = Box[platform.WriteResult](self.loop.stop)
+        box = Box[store_models.WriteResult](self.loop.stop)
         self.api.write(kind, name, spec, expected, box.put)
         return self._wait(box)
 
--- a/citronjunction/control/holder.py
+++ b/citronjunction/control/holder.py
@@ -4,7 +4,7 @@
 
 from citronjunction.conf import models as conf
 from citronjunction.leases import models
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.store import object_api
 
 KIND = 'leases'
@@ -63,20 +63,20 @@
             self._on_write,
         )
 
-    def _on_read(self, result: platform.ReadResult) -> None:
+    def _on_read(self, result: store_models.ReadResult) -> None:
         self.is_waiting = False
         now = self.timers.now()
         match result:
-            case platform.Stored(held=held):
+            case store_models.Stored(held=held):
                 record = models.decode(held.spec)
                 self.lease.note_read(record, held.version, now)
-            case platform.Absent():
+            case store_models.Absent():
                 self.lease.note_read(None, '', now)
 
-    def _on_write(self, result: platform.WriteResult) -> None:
+    def _on_write(self, result: store_models.WriteResult) -> None:
         self.is_waiting = False
         match result:
-            case platform.Stored(held=held):
+            case store_models.Stored(held=held):
                 self.lease.note_written(held.version, self.timers.now())
             case _:
                 self.lease.note_failed()
--- a/citronjunction/control/node.py
+++ b/citronjunction/control/node.py
@@ -11,7 +11,7 @@
 from citronjunction.observability import decisions
 from citronjunction.peering import node
 from citronjunction.store import hosts, object_api
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.releases import status
 from citronjunction.transport import links, runtime
 
@@ -37,7 +37,7 @@
         self.keeper = configuration.Keeper()
         self.statuses: dict[str, status.Status] = {}
         self.owners: dict[str, owner.Owner] = {}
-        self.listed: list[platform.Host] = []
+        self.listed: list[store_models.Host] = []
         self.placer = placing.Placer(
             settings,
             self.peers,
@@ -115,7 +115,7 @@
         if any(held.is_held() for held in holders):
             self.hosts.read_list(self._take_hosts)
 
-    def _take_hosts(self, listed: list[platform.Host] | None) -> None:
+    def _take_hosts(self, listed: list[store_models.Host] | None) -> None:
         if listed is None:
             return
         held = self.peers.table.held
--- a/citronjunction/control/owner.py
+++ b/citronjunction/control/owner.py
@@ -9,7 +9,7 @@
 from citronjunction.membership import facts
 from citronjunction.observability import decisions
 from citronjunction.peering import evidence_rows, node
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.store import object_api
 from citronjunction.releases import evidence, mover, status
 
@@ -63,13 +63,13 @@
         self.workers.ask_all()
         self._step(current)
 
-    def _on_read(self, result: platform.ReadResult) -> None:
+    def _on_read(self, result: store_models.ReadResult) -> None:
         self.is_busy = False
         match result:
-            case platform.Stored(held=held):
+            case store_models.Stored(held=held):
                 self.current = status.decode(held.spec)
                 self.version = held.version
-            case platform.Absent():
+            case store_models.Absent():
                 self.current = status.Status(self.name)
                 self.version = ''
 
@@ -141,18 +141,18 @@
     def _on_written(
         self,
         written: status.Status,
-        result: platform.WriteResult,
+        result: store_models.WriteResult,
     ) -> None:
         self.is_busy = False
         match result:
-            case platform.Stored(held=held):
+            case store_models.Stored(held=held):
                 self._log_changes(written)
                 self.current = written
                 self.version = held.version
                 self.peers.publish(
                     facts.TrafficState(self.name, written.step, held.spec),
                 )
-            case platform.NotWritten():
+            case store_models.NotWritten():
                 return
             case _:
                 # The write may have taken effect: read before the next step.
--- a/citronjunction/control/placing.py
+++ b/citronjunction/control/placing.py
@@ -9,7 +9,7 @@
 from citronjunction.peering import node
 from citronjunction.placement import models, planner
 from citronjunction.store import hosts, object_api
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 
 NAME = 'placement'
 PLAN_S = 5.0  # interval of plans
@@ -37,7 +37,7 @@
         self.ordered: list[Ordered] = []
         self.known: set[str] = set()
 
-    def take_hosts(self, listed: list[platform.Host], now: float) -> None:
+    def take_hosts(self, listed: list[store_models.Host], now: float) -> None:
         """Take the host list; new hosts fill the oldest orders."""
         self.workers.take_hosts(listed)
         names = set(self.workers.seen)
@@ -108,7 +108,7 @@
     def tick(
         self,
         current: configuration.Configuration,
-        listed: list[platform.Host],
+        listed: list[store_models.Host],
     ) -> None:
         """Keep the lease, and plan when it is time."""
         self.holder.tick()
@@ -129,7 +129,7 @@
             self.upstreams[name] = Upstream(seen)
         return self.upstreams[name]
 
-    def _take_offers(self, offered: list[platform.Offer] | None) -> None:
+    def _take_offers(self, offered: list[store_models.Offer] | None) -> None:
         if offered is not None:
             self.offers = [
                 models.Offer(
--- a/citronjunction/control/workers.py
+++ b/citronjunction/control/workers.py
@@ -5,7 +5,7 @@
 from absl import logging
 
 from citronjunction.engines import models as engines
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.releases import mover
 from citronjunction.transport import http_client
 
@@ -18,7 +18,7 @@
 class Seen:
     """Hold the last report of a worker; times are monotonic seconds."""
 
-    host: platform.Host
+    host: store_models.Host
     report: engines.LoadReport | None = None
     asked_at: float = 0
     reported_at: float = 0
@@ -36,7 +36,7 @@
         self.upstream = upstream
         self.seen: dict[str, Seen] = {}
 
-    def take_hosts(self, listed: list[platform.Host]) -> None:
+    def take_hosts(self, listed: list[store_models.Host]) -> None:
         """Take the host list."""
         own = {
             host.name: host for host in listed if host.upstream == self.upstream
--- a/citronjunction/entry/claim_driver.py
+++ b/citronjunction/entry/claim_driver.py
@@ -5,7 +5,7 @@
 
 from citronjunction.attempts import claims
 from citronjunction.entry import models
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.store import object_api
 from citronjunction.transport import deadlines
 from citronjunction.verdicts import models as verdicts
@@ -99,10 +99,10 @@
     def _read(self) -> None:
         self.api.read(claims.KIND, self.name, self._on_read)
 
-    def _on_write(self, result: platform.WriteResult) -> None:
+    def _on_write(self, result: store_models.WriteResult) -> None:
         self._perform(self.claim.on_write(result, self.timers.now()))
 
-    def _on_read(self, result: platform.ReadResult) -> None:
+    def _on_read(self, result: store_models.ReadResult) -> None:
         self._perform(self.claim.on_read(result, self.timers.now()))
 
     def _record(self, write: claims.WriteClaim) -> None:
@@ -120,10 +120,10 @@
     def _after_record(
         self,
         write: claims.WriteClaim,
-        result: platform.WriteResult,
+        result: store_models.WriteResult,
     ) -> None:
         match result:
-            case platform.NotWritten() | platform.Unknown():
+            case store_models.NotWritten() | store_models.Unknown():
                 self.timers.call_later(
                     RECORD_RETRY_S,
                     lambda: self._record(write),
@@ -139,11 +139,11 @@
             lambda: self.api.read(claims.KIND, self.name, self._on_stray),
         )
 
-    def _on_stray(self, result: platform.ReadResult) -> None:
+    def _on_stray(self, result: store_models.ReadResult) -> None:
         match result:
-            case platform.Unknown():
+            case store_models.Unknown():
                 self._release_unknown()
-            case platform.Stored(held=held):
+            case store_models.Stored(held=held):
                 record = claims.decode_record(held.spec)
                 if record and record.operation == self.claim.own.operation:
                     self.claim.version = held.version
--- a/citronjunction/entry/reclaim.py
+++ b/citronjunction/entry/reclaim.py
@@ -14,7 +14,7 @@
 from citronjunction.membership import facts, messages
 from citronjunction.organisations import models as organisations
 from citronjunction.peering import node
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.transport import front, links, runtime
 from citronjunction.verdicts import models as verdicts
 
@@ -46,7 +46,7 @@
         self.waiting: dict[str, flow.RequestFlow] = {}
         self.leaves_at: float = 0
 
-    def on_notice(self, host: platform.Host) -> None:
+    def on_notice(self, host: store_models.Host) -> None:
         """Learn that a host is leaving."""
         if host.name == self.entry.name:
             self.leave(host.leaves_in_s)
--- a/citronjunction/entry/watching.py
+++ b/citronjunction/entry/watching.py
@@ -8,7 +8,7 @@
 from citronjunction.membership import facts, topology
 from citronjunction.peering import node
 from citronjunction.store import hosts, object_api
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.releases import status
 from citronjunction.transport import http_client, runtime
 from citronjunction.upstreams import models as upstreams
@@ -22,7 +22,7 @@
 class LeavingListener(Protocol):
     """Take reclaim notices."""
 
-    def on_notice(self, host: platform.Host) -> None:
+    def on_notice(self, host: store_models.Host) -> None:
         """Learn that a host is leaving."""
 
 
@@ -81,21 +81,21 @@
             self.api.watch(configuration.KIND, self._take_configuration)
             self.api.watch(status.KIND, self._take_status)
 
-    def _take_configuration(self, held: platform.StoredObject) -> None:
+    def _take_configuration(self, held: store_models.StoredObject) -> None:
         offered = configuration.decode(held.spec)
         if offered is not None:
             self.peers.publish(
                 facts.ConfigurationState(offered.revision, held.spec),
             )
 
-    def _take_status(self, held: platform.StoredObject) -> None:
+    def _take_status(self, held: store_models.StoredObject) -> None:
         offered = status.decode(held.spec)
         if offered is not None:
             self.peers.publish(
                 facts.TrafficState(offered.owner, offered.step, held.spec),
             )
 
-    def _take_hosts(self, listed: list[platform.Host] | None) -> None:
+    def _take_hosts(self, listed: list[store_models.Host] | None) -> None:
         if listed is None:
             return
         known = self.entry.fleet.by_name
@@ -117,12 +117,12 @@
                 self.entry.fleet.remove(name)
         self._take_notices(listed)
 
-    def _take_notices(self, listed: list[platform.Host] | None) -> None:
+    def _take_notices(self, listed: list[store_models.Host] | None) -> None:
         for host in listed or ():
             if host.is_leaving:
                 self.on_leaving.on_notice(host)
 
-    def _add_worker(self, host: platform.Host) -> None:
+    def _add_worker(self, host: store_models.Host) -> None:
         worker = upstreams.Worker(
             host.name,
             host.address,
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -5,6 +5,9 @@
 from collections import abc
 
 
+SUCCESS_CLASS = 2  # first digit of an HTTP status
+
+
 class RouteKind(enum.Enum):
     """Tell what of a route may be repeated."""
 
@@ -218,15 +221,6 @@
     memory: str = ''
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class WorkerLoad:
-    """Hold the load that a worker told with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class AnswerHead:
     """Hold the head of a worker's answer as evidence.
@@ -242,14 +236,11 @@
     is_refused: bool
     is_other_worker: bool
     is_authentic: bool
-    is_framed: bool
-    closes: bool
-    load: WorkerLoad | None
 
     @property
     def is_success(self) -> bool:
         """Tell whether the worker answered with success."""
-        return 200 <= self.status < 300  # noqa: WPS459
+        return self.status // 100 == SUCCESS_CLASS
 
 
 class WorkerState(enum.Enum):
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -108,7 +108,6 @@
             self.watcher,
             self.peers,
             self.ledger,
-            self.clock,
             self.incarnation,
         )
         self.sharing = self.exchange.sharing
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -1,6 +1,6 @@
 """All that a gateway exchanges with its peers."""
 
-from citronjunction.duties import clock, usage
+from citronjunction.duties import usage
 from citronjunction.gateway import (
     copying,
     services,
@@ -22,7 +22,6 @@
         watcher: watching.Watcher,
         peers: node.PeerNode,
         ledger: usage.UsageLedger,
-        steady: clock.SteadyClock,
         incarnation: int,
     ) -> None:
         """Take what is told and where news of the peers go."""
@@ -34,7 +33,6 @@
             acting,
             peers,
             ledger,
-            steady,
             incarnation,
         )
 
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -1,6 +1,6 @@
 """What a gateway tells its peers and hears from them."""
 
-from citronjunction.duties import clock, usage
+from citronjunction.duties import usage
 from citronjunction.gateway import services
 from citronjunction.membership import facts
 from citronjunction.peering import node
@@ -20,14 +20,12 @@
         acting: services.Services,
         peers: node.PeerNode,
         ledger: usage.UsageLedger,
-        steady: clock.SteadyClock,
         incarnation: int,
     ) -> None:
         """Take what is told and where peers' reports go."""
         self.acting = acting
         self.peers = peers
         self.ledger = ledger
-        self.clock = steady
         self.incarnation = incarnation
         self.sequence = 0
         self.loads: dict[str, facts.LoadState] = {}
--- a/citronjunction/platform/names.py
+++ b/citronjunction/platform/names.py
@@ -11,7 +11,6 @@
 EXPECTED_WORKER = 'Expect-Instance'
 EXPECTED_VERSION = 'Expect-Version'
 PRIORITY = 'Request-Priority'  # 0 is the most urgent, 9 the least
-LOAD = 'Load'  # running, waiting, slots
 NOT_RUN = 'Not-Executed'
 MEMORY_FROM = 'Kv-From'  # address of the source and handle of the memory
 HOLDER = 'Holder'
--- a/citronjunction/platform/upstream_calls.py
+++ b/citronjunction/platform/upstream_calls.py
@@ -58,9 +58,6 @@
             names.SIGNATURE.lower() in headers
             and 'content-encoding' not in headers
         ),
-        is_framed=head.is_framed,
-        closes=headers.get('connection', '').lower() == 'close',
-        load=_read_load(headers),
     )
 
 
@@ -76,10 +73,3 @@
 def _read_length(headers: abc.Mapping[str, str]) -> int | None:
     text = headers.get('content-length', '')
     return int(text) if text.isdecimal() else None
-
-
-def _read_load(headers: abc.Mapping[str, str]) -> models.WorkerLoad | None:
-    parts = headers.get(names.LOAD.lower(), '').split(',')
-    if len(parts) != 3 or not all(part.isdecimal() for part in parts):
-        return None
-    return models.WorkerLoad(*(int(part) for part in parts))
--- a/citronjunction/releases/applying.py
+++ b/citronjunction/releases/applying.py
@@ -4,7 +4,7 @@
 from typing import Union
 
 from citronjunction.configuration import models as configuration
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.releases import models, planning
 
 MAX_ROUNDS = 8
@@ -91,33 +91,33 @@
         self.is_uncertain = False
         self.rounds = 0
 
-    def on_read(self, result: platform.ReadResult) -> Action:
+    def on_read(self, result: store_models.ReadResult) -> Action:
         """Take what the store holds."""
         self.rounds += 1
         match result:
-            case platform.Absent():
+            case store_models.Absent():
                 return self._plan(configuration.Configuration(), '')
-            case platform.Stored(held=held):
+            case store_models.Stored(held=held):
                 current = configuration.decode(held.spec)
                 if current is None:
                     reason = 'the configuration is malformed'
                     return Unavailable(reason, may_be_accepted=False)
                 return self._plan(current, held.version)
-            case platform.Unknown(reason=reason):
+            case store_models.Unknown(reason=reason):
                 if self.rounds < MAX_ROUNDS:
                     return ReadConfiguration()
                 return Unavailable(reason, self.is_uncertain)
 
     def on_write(
         self,
-        result: platform.WriteResult,
+        result: store_models.WriteResult,
         planned: configuration.Configuration,
     ) -> Action:
         """Take the result of a write."""
         match result:
-            case platform.Stored():
+            case store_models.Stored():
                 return Accepted(planned.revision)
-            case platform.Unknown():
+            case store_models.Unknown():
                 self.is_uncertain = True
         if self.rounds < MAX_ROUNDS:
             return ReadConfiguration()
--- a/tests/attempts/test_claims.py
+++ b/tests/attempts/test_claims.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from citronjunction.attempts import claims
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.verdicts import models as verdicts
 
 FINGERPRINT = 7
@@ -21,18 +21,18 @@
     def put(self, spec, expected):
         current = str(self.version) if self.version else ''
         if expected != current:
-            return platform.Conflict()
+            return store_models.Conflict()
         self.version += 1
         self.spec = spec
         return self.get()
 
     def get(self):
         if not self.version:
-            return platform.Absent()
-        held = platform.StoredObject(
+            return store_models.Absent()
+        held = store_models.StoredObject(
             'claims', 'k', str(self.version), self.spec
         )
-        return platform.Stored(held)
+        return store_models.Stored(held)
 
 
 class Sender:
@@ -59,7 +59,7 @@
             case claims.ReadClaim():
                 result = self.world.store.get()
                 if fault == 'down':
-                    result = platform.Unknown('down')
+                    result = store_models.Unknown('down')
                 self.action = self.claim.on_read(result, self.world.now)
             case claims.Run():
                 self.ran = True
@@ -87,15 +87,15 @@
     def write(self, spec, expected, fault):
         match fault:
             case 'refused':
-                return platform.NotWritten('limit')
+                return store_models.NotWritten('limit')
             case 'down':
-                return platform.Unknown('down')
+                return store_models.Unknown('down')
             case 'late':
                 self.store.delayed.append((spec, expected))
-                return platform.Unknown('lost')
+                return store_models.Unknown('lost')
             case 'lost answer':
                 self.store.put(spec, expected)
-                return platform.Unknown('lost')
+                return store_models.Unknown('lost')
         return self.store.put(spec, expected)
 
     @stateful.rule()
@@ -143,7 +143,7 @@
                 write = sender.claim.lose()
         assert isinstance(
             self.store.put(claims.encode_record(write.record), write.expected),
-            platform.Stored,
+            store_models.Stored,
         ), 'nobody else may have changed the claim of a running request'
         sender.action = claims.Refuse(verdicts.MayHaveRun('ended'))
         sender.outcome = sender.action
@@ -194,7 +194,9 @@
 
 def read(record):
     spec = claims.encode_record(record)
-    return platform.Stored(platform.StoredObject('claims', 'k', '3', spec))
+    return store_models.Stored(
+        store_models.StoredObject('claims', 'k', '3', spec)
+    )
 
 
 def test_a_key_used_for_another_request_is_refused_as_not_run():
@@ -213,8 +215,8 @@
 def test_a_store_that_stays_away_means_not_run_and_a_release():
     claim = build_claim()
     claim.start()
-    action = claim.on_write(platform.Unknown('lost'), 0)
+    action = claim.on_write(store_models.Unknown('lost'), 0)
     while not isinstance(action, claims.Refuse):
-        action = claim.on_read(platform.Unknown('down'), 0)
+        action = claim.on_read(store_models.Unknown('down'), 0)
     assert isinstance(action.failure, verdicts.NotRun)
     assert action.releases
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -164,8 +164,6 @@
 
     assert answer.fields == ((b'Signature', b's'), (b'Load', b'3,1,8'))
     assert answer.length == 3
-    assert answer.closes
-    assert answer.load == models.WorkerLoad(3, 1, 8)
 
 
 def test_a_configuration_is_decoded():
--- a/tests/support/system.py
+++ b/tests/support/system.py
@@ -6,7 +6,7 @@
 from citronjunction.control import node as control_node
 from citronjunction.entry import node as entry_node
 from citronjunction.organisations import models as organisations
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.releases import applying, notes
 from citronjunction.standins import batch, cloud, engine, object_api, service
 from citronjunction.transport import front, http_client
@@ -105,13 +105,13 @@
         work = applying.Application(parsed.ok, frozenset(), operation)
         held = self.store.store.get('configurations', 'current')
         if held is None:
-            action = work.on_read(platform.Absent())
+            action = work.on_read(store_models.Absent())
         else:
             version = held['metadata']['resourceVersion']
-            stored = platform.StoredObject(
+            stored = store_models.StoredObject(
                 'configurations', 'current', version, held['spec']
             )
-            action = work.on_read(platform.Stored(stored))
+            action = work.on_read(store_models.Stored(stored))
         assert isinstance(action, applying.WriteConfiguration), action
         written = self.put(
             'configurations',
