--- a/citronjunction/__init__.py
+++ b/citronjunction/__init__.py
@@ -11,4 +11,4 @@
     importlib.import_module('circuits')
     sys.modules.pop(SLOW_IMPORT)
 
-VERSION = '0.1.0'
+VERSION = '0.2.0'
