Suspect a request only where its worker crashed; keep a stop's lease given

Cause: every lost answer counted as a crash of the worker, so that answers lost at three living workers would have refused a sound request for a minute; and a stopping holder took the lease that it had given back again. Change: a connect tells whether the worker is down; a stopping entry does no duties.

--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -187,7 +187,7 @@
             failed,
         )
         if failed.code == 'connection_lost':
-            self.acting.on_suspect(self.fingerprint, source.worker.entry.name)
+            self.acting.on_suspect(self.fingerprint, source.worker)
         if failed.evidence is evidence.Evidence.may_have_run:
             self._note_begun()
         self.run.note(failed)
--- a/citronjunction/gateway/health.py
+++ b/citronjunction/gateway/health.py
@@ -10,7 +10,12 @@
 class Health:
     """Count failures and eject a worker for growing times."""
 
-    __slots__ = ('ejected_until', 'ejections', 'failures', 'failed_at')
+    __slots__ = (
+        'ejected_until',
+        'ejections',
+        'failed_at',
+        'failures',
+    )
 
     def __init__(self) -> None:
         """Start healthy."""
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -238,10 +238,8 @@
     def _on_begun(self, organisation: str) -> None:
         self.ledger.note(organisation, self.clock.now())
 
-    def _on_suspect(self, fingerprint: int, worker: str) -> None:
-        self.peers.publish(
-            facts.SuspectRequest(fingerprint, (worker,), self.clock.now()),
-        )
+    def _on_suspect(self, fingerprint: int, worker: fleet.Worker) -> None:
+        self.exchange.suspecting.check(fingerprint, worker)
 
     def _on_leaving(self, worker: fleet.Worker) -> None:
         self.evacuation.schedule(worker)
@@ -254,6 +252,9 @@
             self.announce()
 
     def _do_duties(self) -> None:
+        if self.stopper.is_stopping:
+            self.sharing.is_holder = False
+            return
         self.holder.tick()
         self.sharing.is_holder = self.holder.get_fence() is not None
         if not self.sharing.is_holder:
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -5,6 +5,7 @@
     copying,
     services,
     sharing,
+    suspecting,
     trials,
     watching,
 )
@@ -28,6 +29,7 @@
         self.acting = acting
         self.watcher = watcher
         self.copying = copying.Copying(acting, watcher, peers)
+        self.suspecting = suspecting.SuspectWatch(acting, peers)
         self.trials = trials.Trials(acting, peers, incarnation)
         self.sharing = sharing.Sharing(
             acting,
--- a/citronjunction/gateway/services.py
+++ b/citronjunction/gateway/services.py
@@ -38,7 +38,7 @@
     log: decisions.DecisionLog
     counts: counting.Counts
     on_begun: abc.Callable[[str], None]
-    on_suspect: abc.Callable[[int, str], None]
+    on_suspect: abc.Callable[[int, fleet.Worker], None]
     on_leaving: abc.Callable[[fleet.Worker], None]
     configuration: models.Configuration | None = None
     routes: matching.RouteTable = dataclasses.field(
--- a/tests/duties/test_holder.py
+++ b/tests/duties/test_holder.py
@@ -196,3 +196,18 @@
     ledger.restore(saved)
 
     assert ledger.sum_up(200) == {'org': 5}
+
+
+def test_a_stopping_holder_gives_the_duties_away_for_good(deployed):
+    ask_for(deployed, 8)
+    (first,) = find_holder(deployed)
+    for held in deployed.workers.values():
+        held.behaviour.service_s = 1.4
+    deployed.send('/unsafe/x', gateway=first, method='POST')
+    deployed.gateway_hosts[first].on_stop()
+    deployed.world.run(2.4)
+
+    assert deployed.gateway_hosts[first].is_alive
+    (second,) = find_holder(deployed)
+    assert second != first
+    check_fences(deployed)
