Ignore reports of load that are older than prompts wait

Change: a report counts as load for 0.75 s. Test: a paused peer's requests no longer count (failed before).

--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -9,6 +9,9 @@
 # Each report reaches every entry, so the interval grows with the fleet beyond
 # this size, for the same bytes an entry.
 SMALL_FLEET = 8
+# Prompts are read within tenths of a second, so that an older report tells
+# nothing of who waits now.
+FRESH_S = 0.75
 LOST_INTERVALS = 4  # without a report until a peer's load is dropped
 
 
@@ -120,5 +123,5 @@
         self.acting.fleet.take_peer_loads(
             load.running
             for name, load in self.loads.items()
-            if self._is_live(name, now)
+            if now - self.heard_at[name] <= FRESH_S
         )
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -52,3 +52,18 @@
         for name, link in gateway.peers.ready.items()
     ]
     assert links == again
+
+
+def test_an_old_report_no_longer_counts_as_load():
+    deployed = platform_system.PlatformSystem().build(gateways=2)
+    for held in deployed.workers.values():
+        held.behaviour.is_mute = True
+    deployed.send('/unsafe/x', gateway='gateway-1', method='POST')
+    deployed.world.run(0.8)
+    workers = deployed.gateways['gateway-0'].acting.fleet.workers.values()
+    assert sum(worker.total_running for worker in workers) == 1
+
+    deployed.gateway_hosts['gateway-1'].pause(5)
+    deployed.world.run(1.6)
+
+    assert sum(worker.total_running for worker in workers) == 0
