--- a/citronjunction/entry/claim_driver.py
+++ b/citronjunction/entry/claim_driver.py
@@ -5,9 +5,10 @@
 
 from citronjunction.attempts import claims
 from citronjunction.entry import models
-from citronjunction.store import models as platform
+from citronjunction.store import models as store_models
 from citronjunction.store import object_api
 from citronjunction.transport import deadlines
+from citronjunction.verdicts import models as verdicts
 
 RECORD_RETRY_S = 1.0  # delay before a result is recorded again
 MAX_RECORD_TRIES = 3600
@@ -51,21 +52,25 @@
         """Let go of a claim whose request will not run any more."""
         self.is_over = True
 
-    def complete(self, answer: claims.KeptAnswer) -> None:
+    def keep(self, status: int, content_type: str, body: bytes) -> None:
         """Record the answer, however long that takes."""
+        answer = claims.keep_answer(status, content_type, body)
         self._record(self.claim.complete(answer))
 
-    def release(self) -> None:
-        """Record that the request was not run."""
+    def settle(self, failure: verdicts.Failure) -> None:
+        """Record what a failed request's verdict says about its run."""
+        match failure:
+            case verdicts.NotRun():
+                self._release()
+            case verdicts.MayHaveRun():
+                self._record(self.claim.lose())
+
+    def _release(self) -> None:
         if not self.claim.version:
             self._release_unknown()
             return
         self._record(self.claim.release())
 
-    def lose(self) -> None:
-        """Record that the request may have run."""
-        self._record(self.claim.lose())
-
     def _perform(self, action: claims.Action) -> None:
         match action:
             case claims.WriteClaim(record=record, expected=expected):
@@ -87,17 +92,17 @@
 
     def _decide(self, action: claims.Action) -> None:
         if self.is_over and isinstance(action, claims.Run):
-            self.release()
+            self._release()
             return
         self.on_action(action)
 
     def _read(self) -> None:
         self.api.read(claims.KIND, self.name, self._on_read)
 
-    def _on_write(self, result: platform.WriteResult) -> None:
+    def _on_write(self, result: store_models.WriteResult) -> None:
         self._perform(self.claim.on_write(result, self.timers.now()))
 
-    def _on_read(self, result: platform.ReadResult) -> None:
+    def _on_read(self, result: store_models.ReadResult) -> None:
         self._perform(self.claim.on_read(result, self.timers.now()))
 
     def _record(self, write: claims.WriteClaim) -> None:
@@ -115,10 +120,10 @@
     def _after_record(
         self,
         write: claims.WriteClaim,
-        result: platform.WriteResult,
+        result: store_models.WriteResult,
     ) -> None:
         match result:
-            case platform.NotWritten() | platform.Unknown():
+            case store_models.NotWritten() | store_models.Unknown():
                 self.timers.call_later(
                     RECORD_RETRY_S,
                     lambda: self._record(write),
@@ -134,11 +139,11 @@
             lambda: self.api.read(claims.KIND, self.name, self._on_stray),
         )
 
-    def _on_stray(self, result: platform.ReadResult) -> None:
+    def _on_stray(self, result: store_models.ReadResult) -> None:
         match result:
-            case platform.Unknown():
+            case store_models.Unknown():
                 self._release_unknown()
-            case platform.Stored(held=held):
+            case store_models.Stored(held=held):
                 record = claims.decode_record(held.spec)
                 if record and record.operation == self.claim.own.operation:
                     self.claim.version = held.version
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -1,10 +1,11 @@
 """All that a gateway exchanges with its peers."""
 
-from citronjunction.duties import clock, usage
+from citronjunction.duties import usage
 from citronjunction.gateway import (
     copying,
     services,
     sharing,
+    suspecting,
     trials,
     watching,
 )
@@ -22,19 +23,18 @@
         watcher: watching.Watcher,
         peers: node.PeerNode,
         ledger: usage.UsageLedger,
-        steady: clock.SteadyClock,
         incarnation: int,
     ) -> None:
         """Take what is told and where news of the peers go."""
         self.acting = acting
         self.watcher = watcher
         self.copying = copying.Copying(acting, watcher, peers)
+        self.suspecting = suspecting.SuspectWatch(acting, peers)
         self.trials = trials.Trials(acting, peers, incarnation)
         self.sharing = sharing.Sharing(
             acting,
             peers,
             ledger,
-            steady,
             incarnation,
         )
 
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -1,11 +1,18 @@
 """What a gateway tells its peers and hears from them."""
 
-from citronjunction.duties import clock, usage
+from citronjunction.duties import usage
 from citronjunction.gateway import services
 from citronjunction.membership import facts
 from citronjunction.peering import node
 
 INTERVAL_S = 0.25  # between reports; quotas overshoot by this much use
+# Each report reaches every entry, so the interval grows with the fleet beyond
+# this size, for the same bytes an entry.
+SMALL_FLEET = 8
+# Prompts are read within tenths of a second, so that an older report tells
+# nothing of who waits now.
+FRESH_S = 0.75
+LOST_INTERVALS = 4  # without a report until a peer's load is dropped
 
 
 class Sharing:
@@ -16,14 +23,12 @@
         acting: services.Services,
         peers: node.PeerNode,
         ledger: usage.UsageLedger,
-        steady: clock.SteadyClock,
         incarnation: int,
     ) -> None:
         """Take what is told and where peers' reports go."""
         self.acting = acting
         self.peers = peers
         self.ledger = ledger
-        self.clock = steady
         self.incarnation = incarnation
         self.sequence = 0
         self.loads: dict[str, facts.LoadState] = {}
@@ -33,7 +38,12 @@
 
     def start(self) -> None:
         """Start to publish."""
-        self.acting.timers.call_every(INTERVAL_S, self.publish)
+        self._publish_again()
+
+    def get_interval_s(self) -> float:
+        """Return the time between reports at the present fleet size."""
+        entries = 1 + len(self.loads)
+        return INTERVAL_S * max(1, entries / SMALL_FLEET)
 
     def publish(self) -> None:
         """Tell the load of this entry; it is also its sign of life."""
@@ -55,6 +65,13 @@
             ),
         )
 
+    def _publish_again(self) -> None:
+        self.publish()
+        self.acting.timers.call_later(
+            self.get_interval_s(),
+            self._publish_again,
+        )
+
     def take(self, fact: facts.LoadState) -> None:
         """Merge what a peer told."""
         if fact.name == self.peers.own_name:
@@ -91,16 +108,20 @@
         for name in tuple(self.loads):
             if not self._is_live(name, now):
                 self.loads.pop(name)
+        self.acting.quotas.set_interval(self.get_interval_s())
         self.acting.quotas.expire(now)
         self._merge_loads(now)
 
     def _is_live(self, name: str, now: float) -> bool:
-        limit_s = self.acting.settings.membership.lost_after_s
+        limit_s = max(
+            self.acting.settings.membership.lost_after_s,
+            LOST_INTERVALS * self.get_interval_s(),
+        )
         return now - self.heard_at.get(name, 0) <= limit_s
 
     def _merge_loads(self, now: float) -> None:
         self.acting.fleet.take_peer_loads(
             load.running
             for name, load in self.loads.items()
-            if self._is_live(name, now)
+            if now - self.heard_at[name] <= FRESH_S
         )
