Keep the use of quotas over a restart of all entries

All entries were killed in the middle of a flood; the new ones knew nothing of the window so far and admitted another quota. Change: the checkpoint in the store, once a second, also holds the use of the window by second of age; each entry reads it at its start. Until then, or for a whole window if the store is away, an entry admits 0.08 of its part. Test: a flood over a restart of all entries, with and without the checkpoint (failed before).

--- a/citronjunction/duties/checkpoint.py
+++ b/citronjunction/duties/checkpoint.py
@@ -1,25 +1,28 @@
-"""Keeps the counts of open usage windows in the store.
+"""Keeps in the store what entries would lose if all of them ended at once.
 
-Entries lose their memory when they end, also all at once; what was counted
-until the last checkpoint can then still be reported.
+That is the counts of open usage windows and the use of quotas.
 """
 
-from citronjunction.duties import usage
+from citronjunction.duties import clock, usage
+from citronjunction.gateway import quotas
 from citronjunction.store import records
 from citronjunction.transport import deadlines
 
-KIND = 'citron-usage-open'
-NAME = 'counts'
-INTERVAL_S = 1.0  # so much of a window's counts is lost at worst
+KIND = 'citron-checkpoints'
+NAME = 'use'
+INTERVAL_S = 1.0  # so much of the use is lost at worst
+READ_AGAIN_S = 0.5  # between reads at the start while the store is away
 
 
 class Checkpoint:
-    """Write all counts as the holder; read them once as a new holder."""
+    """Write all use as the holder; read it at the start of an entry."""
 
     __slots__ = (
+        'clock',
         'is_busy',
         'is_read',
         'ledger',
+        'quotas',
         'revision',
         'store',
         'timers',
@@ -31,14 +34,22 @@
         self,
         store: records.Store,
         timers: deadlines.Deadlines,
+        steady: clock.SteadyClock,
         ledger: usage.UsageLedger,
+        held: quotas.Quotas,
     ) -> None:
-        """Take the counts and where they are kept."""
+        """Take what is kept and where."""
         self.store = store
         self.timers = timers
+        self.clock = steady
         self.ledger = ledger
-        self.forget()
+        self.quotas = held
         self.is_busy = False
+        self.forget()
+
+    def start(self) -> None:
+        """Read what the entries before this start used."""
+        self.store.read(KIND, NAME, self._on_start_read)
 
     def forget(self) -> None:
         """Read again before the next write: another holder may write."""
@@ -58,13 +69,17 @@
             self._write()
 
     def _write(self) -> None:
-        snapshot = self.ledger.export()
-        if snapshot == self.written:
+        begun = self.ledger.export()
+        if begun == self.written:
             return
         self.is_busy = True
-        self.written = snapshot
+        self.written = begun
         self.written_at = self.timers.now()
-        spec = {'entries': snapshot}
+        spec = {
+            'at': self.clock.now(),
+            'begun': begun,
+            'used': self.quotas.export(self.timers.now()),
+        }
         if self.revision:
             self.store.replace(
                 KIND,
@@ -76,13 +91,26 @@
         else:
             self.store.create(KIND, NAME, spec, self._on_written)
 
+    def _on_start_read(self, result: records.ReadResult) -> None:
+        match result:
+            case records.Record(spec=spec):
+                self.quotas.restore(
+                    spec.get('used') or {},
+                    max(0, self.clock.now() - spec.get('at', 0)),
+                    self.timers.now(),
+                )
+            case records.Absent():
+                self.quotas.knows_past = True
+            case records.Unavailable():
+                self.timers.call_later(READ_AGAIN_S, self.start)
+
     def _on_read(self, result: records.ReadResult) -> None:
         self.is_busy = False
         match result:
             case records.Record(spec=spec, revision=revision):
                 self.is_read = True
                 self.revision = revision
-                self.ledger.restore(spec.get('entries') or {})
+                self.ledger.restore(spec.get('begun') or {})
             case records.Absent():
                 self.is_read = True
 
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -72,11 +72,6 @@
             self.name,
             self.incarnation,
         )
-        self.checkpoint = checkpoint.Checkpoint(
-            adapter.store,
-            timers,
-            self.ledger,
-        )
         workers = fleet.Fleet()
         self.acting = services.Services(
             settings,
@@ -86,7 +81,7 @@
             adapter.codec,
             workers,
             choosing.Chooser(workers, settings.process.zone, loop.random),
-            quotas.Quotas(settings.quotas.window_s),
+            quotas.Quotas(settings.quotas.window_s, timers.now()),
             rollouts.Rollouts(loop.random, settings.control.significance),
             suspects.Suspects(settings.attempts),
             self.log,
@@ -95,6 +90,13 @@
             self._on_suspect,
             self._on_leaving,
         )
+        self.checkpoint = checkpoint.Checkpoint(
+            adapter.store,
+            timers,
+            self.clock,
+            self.ledger,
+            self.acting.quotas,
+        )
         self.peers = node.PeerNode(loop, settings, self.name, self)
         self.watcher = watching.Watcher(
             self.acting,
@@ -157,6 +159,7 @@
         self.announce()
         self.peers.start()
         self.watcher.start()
+        self.checkpoint.start()
         self.exchange.start()
         timers = self.loop.timers
         timers.call_every(self.settings.membership.heartbeat_s, self._beat)
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -14,6 +14,9 @@
 START_INTERVAL_S = 0.25  # between the reports of a peer in a small fleet
 # A silent peer may be cut off and still serve; longer than cuts last.
 RESERVED_S = 60.0
+# Part of a quota until the use before a restart is known: with it two windows'
+# use stays within what the deployments allow.
+BLIND_SHARE = 0.08
 UNKNOWN_PEERS = 7  # entries assumed until peers are heard
 SLICE_S = 0.25  # resolution of the window
 
@@ -43,6 +46,22 @@
             self.total -= self.slices.popleft()[1]
         return self.total
 
+    def export(self, now: float) -> list[list[float]]:
+        """Return ages in whole seconds and the use of each."""
+        self.measure(now)
+        by_age: dict[int, float] = {}
+        for start, used in self.slices:
+            age = int(now - start)
+            by_age[age] = by_age.get(age, 0) + used
+        return [[age, used] for age, used in sorted(by_age.items())]
+
+    def restore(self, past: list[tuple[float, float]]) -> None:
+        """Add earlier use; each item is its time and how much it was."""
+        held = [*self.slices, *([start, used] for start, used in past)]
+        held.sort()
+        self.slices = collections.deque(held)
+        self.total += sum(used for _, used in past)
+
     def get_wait_s(self, excess: float, now: float) -> float:
         """Return the time until so much use leaves the window."""
         left = excess
@@ -75,11 +94,21 @@
 class Quotas:
     """Admit requests within the quotas; times are monotonic seconds."""
 
-    __slots__ = ('peers', 'silent_s', 'sums', 'used', 'window_s')
-
-    def __init__(self, window_s: float) -> None:
-        """Take the window; the peers' use is not yet known."""
+    __slots__ = (
+        'knows_past',
+        'peers',
+        'silent_s',
+        'started_at',
+        'sums',
+        'used',
+        'window_s',
+    )
+
+    def __init__(self, window_s: float, now: float) -> None:
+        """Take the window; use before the start is not yet known."""
         self.window_s = window_s
+        self.started_at = now
+        self.knows_past = False
         self.silent_s = SILENT_INTERVALS * START_INTERVAL_S
         self.sums: dict[str, SlidingSum] = {}
         self.peers: dict[str, Peer] = {}
@@ -136,6 +165,27 @@
             if rise:
                 self._get_sum(organisation).add(rise, now)
 
+    def export(self, now: float) -> dict[str, list[list[float]]]:
+        """Return the use of all entries in the window that ends now."""
+        return {name: held.export(now) for name, held in self.sums.items()}
+
+    def restore(
+        self,
+        saved: dict[str, list[list[float]]],
+        elapsed_s: float,
+        now: float,
+    ) -> None:
+        """Take the use before the start, saved some seconds ago."""
+        self.knows_past = True
+        oldest = now - self.window_s
+        for name, slices in saved.items():
+            past = [
+                (now - elapsed_s - age, used)
+                for age, used in slices
+                if oldest < now - elapsed_s - age < self.started_at
+            ]
+            self._get_sum(name).restore(past)
+
     def set_interval(self, interval_s: float) -> None:
         """Learn how often peers report."""
         self.silent_s = SILENT_INTERVALS * interval_s
@@ -169,7 +219,11 @@
         heard = sum(
             now - peer.heard_at <= self.silent_s for peer in self.peers.values()
         )
-        return (1 + heard) / self.count_entries()
+        share = (1 + heard) / self.count_entries()
+        is_blind = now - self.started_at < self.window_s
+        return (
+            share * BLIND_SHARE if is_blind and not self.knows_past else share
+        )
 
 
 def compute_cost(
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -21,8 +21,11 @@
     def __init__(self, count):
         self.now = 100.0
         self.held = {
-            f'e{number}': quotas.Quotas(WINDOW_S) for number in range(count)
+            f'e{number}': quotas.Quotas(WINDOW_S, self.now)
+            for number in range(count)
         }
+        for held in self.held.values():
+            held.knows_past = True
         self.admitted = []
         self.tell()
 
@@ -86,21 +89,21 @@
 
 
 def test_a_restarted_entry_uses_a_small_part_until_it_hears_peers():
-    held = quotas.Quotas(WINDOW_S)
+    held = quotas.Quotas(WINDOW_S, 0.0)
     admitted = sum(held.admit(ORG, 100, 5.0) is None for _ in range(100))
 
     assert admitted * 100 <= LIMIT / quotas.UNKNOWN_PEERS + 100
 
 
 def test_a_request_larger_than_the_limit_passes_an_unused_window():
-    held = quotas.Quotas(WINDOW_S)
+    held = quotas.Quotas(WINDOW_S, 0.0)
 
     assert held.admit(ORG, LIMIT * 3, 5.0) is None
     assert held.admit(ORG, 1, 5.0) is not None
 
 
 def test_the_wait_told_is_long_enough():
-    held = quotas.Quotas(WINDOW_S)
+    held = quotas.Quotas(WINDOW_S, 0.0)
     held.take_report('peer', 1, {}, 5.0)
     while held.admit(ORG, 100, 5.0) is None:
         pass
@@ -111,7 +114,7 @@
 
 
 def test_a_refund_frees_the_quota():
-    held = quotas.Quotas(WINDOW_S)
+    held = quotas.Quotas(WINDOW_S, 0.0)
     held.admit(ORG, LIMIT, 5.0)
     held.refund(ORG, LIMIT, 5.1)
 
@@ -120,7 +123,7 @@
 
 
 def test_a_peer_that_restarts_counts_from_its_new_start():
-    held = quotas.Quotas(WINDOW_S)
+    held = quotas.Quotas(WINDOW_S, 0.0)
     held.take_report('peer', 1, {'org': 5000}, 5.0)
     held.take_report('peer', 2, {'org': 300}, 5.1)
 
@@ -158,3 +161,56 @@
 
     assert held.admit(ORG, LIMIT * 0.9, entries.now) is None
     assert held.admit(ORG, LIMIT * 0.09, entries.now) is None
+
+
+def test_a_flood_over_the_restart_of_all_entries_stays_within_the_quota():
+    entries = Entries(6)
+    saved = {}
+    for step in range(400):
+        entries.now += 0.05
+        for name in entries.held:
+            entries.ask(name, FLOOD * 0.05 / len(entries.held))
+        if step % 5 == 0:
+            entries.tell()
+        if step % 20 == 0:
+            saved = entries.held['e0'].export(entries.now)
+            saved_at = entries.now
+        if step == 60:
+            restart_all(entries, saved, entries.now - saved_at)
+
+    assert entries.measure_worst_window() <= ALLOWED
+
+
+def restart_all(entries, saved, elapsed_s):
+    for name in entries.held:
+        held = quotas.Quotas(WINDOW_S, entries.now)
+        held.restore(saved, elapsed_s, entries.now)
+        entries.held[name] = held
+    entries.tell()
+
+
+def test_usual_use_passes_after_the_restart_of_all_entries():
+    entries = Entries(4)
+    for step in range(200):
+        entries.now += 0.05
+        assert entries.ask(f'e{step % 4}', RATE * 0.05 / 1.8) is None
+        if step % 5 == 0:
+            entries.tell()
+        if step == 100:
+            saved = entries.held['e0'].export(entries.now)
+            restart_all(entries, saved, 0.7)
+
+
+def test_an_entry_that_does_not_know_the_past_uses_little():
+    entries = Entries(6)
+    for step in range(400):
+        entries.now += 0.05
+        for name in entries.held:
+            entries.ask(name, FLOOD * 0.05 / len(entries.held))
+        if step % 5 == 0:
+            entries.tell()
+        if step == 60:
+            for name in entries.held:
+                entries.held[name] = quotas.Quotas(WINDOW_S, entries.now)
+
+    assert entries.measure_worst_window() <= ALLOWED
