Encode evidence for peers in one place

The gateway's trials repeated how an entry tells its evidence: the rows, and the number that says whether they changed. Both now stand in peering/evidence_rows.py beside what reads them.

--- a/citronjunction/entry/measuring.py
+++ b/citronjunction/entry/measuring.py
@@ -4,6 +4,7 @@
 
 from citronjunction.entry import models, state
 from citronjunction.membership import facts
+from citronjunction.peering import evidence_rows
 from citronjunction.releases import evidence
 from citronjunction.routing import models as routing
 
@@ -63,16 +64,7 @@
 ) -> facts.EvidenceState:
     """Build what peers are told of the own evidence."""
     release.sequence += 1
-    rows = tuple(
-        facts.EvidenceRow(
-            row.route,
-            row.metric,
-            row.worker,
-            row.samples,
-            tuple(round(held, 3) for held in row.log_values),
-        )
-        for row in release.comparison.get_rows()
-    )
+    rows = evidence_rows.encode_rows(release.comparison.get_rows())
     return facts.EvidenceState(
         entry.name,
         entry.incarnation,
@@ -86,7 +78,4 @@
 
 def measure_change(release: state.Release) -> float:
     """Return a number that changes as the own evidence does."""
-    return sum(
-        row.samples / 20 + max(row.log_values)
-        for row in release.comparison.get_rows()
-    )
+    return evidence_rows.measure_change(release.comparison.get_rows())
--- a/citronjunction/gateway/trials.py
+++ b/citronjunction/gateway/trials.py
@@ -50,7 +50,7 @@
 
     def _tell(self, upstream: str, trial: rollouts.Trial) -> None:
         rows = self.acting.rollouts.get_rows(upstream)
-        change = sum(row.samples / 20 + max(row.log_values) for row in rows)
+        change = evidence_rows.measure_change(rows)
         if abs(change - trial.told) < TELL_CHANGE:
             return
         trial.told = change
@@ -63,16 +63,7 @@
                 upstream,
                 trial.rollout.target,
                 trial.release,
-                tuple(
-                    facts.EvidenceRow(
-                        row.route,
-                        row.metric,
-                        row.worker,
-                        row.samples,
-                        tuple(round(held, 3) for held in row.log_values),
-                    )
-                    for row in rows
-                ),
+                evidence_rows.encode_rows(rows),
             ),
         )
 
--- a/citronjunction/peering/evidence_rows.py
+++ b/citronjunction/peering/evidence_rows.py
@@ -1,4 +1,4 @@
-"""Evidence about a candidate version in the facts of the peers."""
+"""Evidence about a candidate version, to and from the facts of peers."""
 
 from collections import abc
 
@@ -27,3 +27,24 @@
                     row.samples,
                     row.log_values,
                 )
+
+
+def encode_rows(
+    rows: abc.Iterable[evidence.Row],
+) -> tuple[facts.EvidenceRow, ...]:
+    """Build what peers are told of own evidence."""
+    return tuple(
+        facts.EvidenceRow(
+            row.route,
+            row.metric,
+            row.worker,
+            row.samples,
+            tuple(round(held, 3) for held in row.log_values),
+        )
+        for row in rows
+    )
+
+
+def measure_change(rows: abc.Iterable[evidence.Row]) -> float:
+    """Return a number that changes as the evidence does."""
+    return sum(row.samples / 20 + max(row.log_values) for row in rows)
