Divide only the unused rest of a quota among entries after a restart

Cause: after a restart the checkpoint restores the use of all entries, but until peers are heard the entry compared it with its own part of the limit (1/7), so requests within the quota were answered 429.

Change: the limit is the part of the whole plus the earlier use that the part does not own; what all entries admit anew stays within limit minus earlier use.

Tests: usual use right after a restart (failed before), a flood without news of peers stays within the quota.

--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -96,6 +96,7 @@
 
     __slots__ = (
         'knows_past',
+        'past',
         'peers',
         'silent_s',
         'started_at',
@@ -111,6 +112,8 @@
         self.knows_past = False
         self.silent_s = SILENT_INTERVALS * START_INTERVAL_S
         self.sums: dict[str, SlidingSum] = {}
+        # The use of all entries before the start, which is also in the sums.
+        self.past: dict[str, SlidingSum] = {}
         self.peers: dict[str, Peer] = {}
         self.used: dict[str, float] = {}
 
@@ -125,8 +128,7 @@
         name = organisation.name
         held = self._get_sum(name)
         if quota.rate_per_s > 0:
-            limit = quota.rate_per_s * self.window_s + quota.burst
-            limit *= self._get_share(now)
+            limit = self._get_limit(organisation, now)
             used = held.measure(now)
             excess = used + cost - limit
             # A request larger than the whole limit passes an unused window.
@@ -185,6 +187,8 @@
                 if oldest < now - elapsed_s - age < self.started_at
             ]
             self._get_sum(name).restore(past)
+            self.past[name] = SlidingSum(self.window_s)
+            self.past[name].restore(past)
 
     def set_interval(self, interval_s: float) -> None:
         """Learn how often peers report."""
@@ -214,6 +218,23 @@
             self.sums[organisation] = held
         return held
 
+    def _get_limit(
+        self,
+        organisation: models.Organisation,
+        now: float,
+    ) -> float:
+        """Return what the known use may come to, this entry's part of it new.
+
+        The use before the start is known of all entries. Only what it leaves
+        of the quota is divided among them.
+        """
+        quota = organisation.quota
+        whole = quota.rate_per_s * self.window_s + quota.burst
+        share = self._get_share(now)
+        past = self.past.get(organisation.name)
+        before = past.measure(now) if past is not None else 0
+        return share * whole + (1 - share) * before
+
     def _get_share(self, now: float) -> float:
         """Return the part of a quota that this entry sees the use of."""
         heard = sum(
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -201,6 +201,44 @@
             restart_all(entries, saved, 0.7)
 
 
+def test_usual_use_passes_before_restarted_entries_hear_each_other():
+    entries = Entries(6)
+    for step in range(160):
+        entries.now += 0.05
+        entries.ask(f'e{step % 6}', RATE * 0.05 / 1.8)
+        if step % 5 == 0:
+            entries.tell()
+    saved = entries.held['e0'].export(entries.now)
+    for name in entries.held:
+        held = quotas.Quotas(WINDOW_S, entries.now)
+        held.restore(saved, 0.7, entries.now)
+        entries.held[name] = held
+
+    for step in range(20):
+        entries.now += 0.05
+        assert entries.ask(f'e{step % 6}', RATE * 0.05 / 1.8) is None
+
+
+def test_a_flood_after_a_restart_without_news_of_peers_stays_within_the_quota():
+    entries = Entries(6)
+    for step in range(60):
+        entries.now += 0.05
+        for name in entries.held:
+            entries.ask(name, FLOOD * 0.05 / len(entries.held))
+        if step % 5 == 0:
+            entries.tell()
+    saved = entries.held['e0'].export(entries.now)
+    for name in entries.held:
+        entries.held[name] = quotas.Quotas(WINDOW_S, entries.now)
+        entries.held[name].restore(saved, 0.0, entries.now)
+    for _ in range(60):
+        entries.now += 0.05
+        for name in entries.held:
+            entries.ask(name, FLOOD * 0.05 / len(entries.held))
+
+    assert entries.measure_worst_window() <= ALLOWED
+
+
 def test_an_entry_that_does_not_know_the_past_uses_little():
     entries = Entries(6)
     for step in range(400):
