--- a/citronjunction/conf/models.py
+++ b/citronjunction/conf/models.py
@@ -10,6 +10,7 @@
 Count = Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
 Bytes = Annotated[int, pydantic.Field(ge=1, le=1 << 30)]
 Address = Annotated[str, pydantic.Field(pattern=r'^[\d.]+:\d+$')]
+Cores = Annotated[float, pydantic.Field(gt=0, le=1024)]
 Share = Annotated[float, pydantic.Field(gt=0, le=1)]
 
 
@@ -29,6 +30,7 @@
     region: str = describe('region of the host', 'maroc-nord')
     zone: str = describe('data centre of the host', 'casa-voyageurs')
     address: str = describe('IP number to listen on', '127.0.0.1')
+    cores: Cores = describe('processor time of the host', 1.0, 'cores')
     port: Port = describe('TCP port for callers; 0 picks one', 8080)
     peer_port: Port = describe('TCP port for peer links; 0 picks one', 8081)
     operator_token: str = describe('bearer token of operators; empty: none', '')
@@ -111,6 +113,11 @@
     secret: str = describe('shared secret of the peer links', '')
     seeds: str = describe('IP:PORT of peers to start from, by comma', '')
     links: Count = describe('links that a node opens', 2)
+    serving: Count = describe(
+        'entries that serve callers at least; a larger fleet keeps the others'
+        ' standing by',
+        1_000_000,
+    )
     heartbeat_s: Seconds = describe('interval of heartbeats', 1.0, 's')
     lost_after_s: Seconds = describe('silence until a peer is lost', 6.0, 's')
     sync_s: Seconds = describe('interval of anti-entropy', 10.0, 's')
--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -15,6 +15,7 @@
 TOKENS_PER_WORKER = 18000.0  # prompt tokens a second at a comfortable load
 MIN_TOKENS_PER_WORKER = 34000.0  # beyond this first tokens come late
 OBSERVED_S = 12.0  # demand seen for as long replaces the assumption at start
+SETTLED_S = 2.0  # without a new worker until those that stand are all known
 START_FACTOR = 2.0  # workers for each on-demand worker found at the start
 PEAK_DECAY_S = 25.0  # time in which a past peak of demand is forgotten
 DRY_S = 2.0  # after the last refusal until the market counts as open again
@@ -59,12 +60,15 @@
         'assumed',
         'demand_since',
         'dry_until',
+        'grew_at',
+        'most',
         'name',
         'need',
         'need_at',
         'peak',
         'peak_at',
         'sent',
+        'started_at',
     )
 
     def __init__(self, name: str) -> None:
@@ -76,6 +80,9 @@
         self.peak_at: float = 0
         self.demand_since: float | None = None
         self.assumed = 0
+        self.most = 0
+        self.grew_at: float = 0
+        self.started_at: float | None = None
         self.need = 0
         self.need_at: float = 0
 
@@ -86,6 +93,8 @@
     ) -> list[models.WorkerOrder]:
         """Return the orders that are due."""
         self._note_demand(situation, now)
+        if not self._is_settled(situation, now):
+            return []
         return [
             models.WorkerOrder(self.name, zone, is_reclaimable, count)
             for (zone, is_reclaimable), count in self._plan(
@@ -113,8 +122,25 @@
             case models.CallResult.unavailable:
                 self.sent.pop((order.zone, order.is_reclaimable), None)
 
+    def _is_settled(self, situation: Situation, now: float) -> bool:
+        """Tell whether all workers that stood at the start are known.
+
+        Workers register over some seconds. An order that counts too few ends
+        the others before they are seen.
+        """
+        if self.started_at is None:
+            self.started_at = now
+        boot_s = situation.scaling.boot_s + BOOT_MARGIN_S
+        if self.demand_since is not None or now - self.started_at > boot_s:
+            return True
+        total = sum(held.ready for held in situation.standing.values())
+        if total > self.most:
+            self.most = total
+            self.grew_at = now
+        return self.most > 0 and now - self.grew_at >= SETTLED_S
+
     def _note_demand(self, situation: Situation, now: float) -> None:
-        if self.demand_since is None:
+        if self.demand_since is None and not self.sent:
             self.assumed = max(self.assumed, _assume_need(situation))
         demand = situation.tokens_per_s
         if demand is None:
--- a/citronjunction/gateway/copying.py
+++ b/citronjunction/gateway/copying.py
@@ -1,4 +1,4 @@
-"""Copies of stored objects from peers, while the store is out of reach."""
+"""Copies of stored objects from peers, in place of the store."""
 
 from citronjunction.gateway import services, watching
 from citronjunction.membership import messages
@@ -7,6 +7,7 @@
 from citronjunction.transport import links
 
 ASK_S = 0.3  # interval; a restarted entry is ready within two of them
+FOLLOW_S = 1.0  # interval for an entry that stands by, while the store answers
 
 
 class Copying:
@@ -22,6 +23,7 @@
         self.acting = acting
         self.watcher = watcher
         self.peers = peers
+        self.asked_at: dict[str, float] = {}
 
     def start(self) -> None:
         """Start to ask, at first once the store had time to answer."""
@@ -34,8 +36,12 @@
 
     def ask(self) -> None:
         """Ask one peer for each kind that may be behind."""
+        now = self.acting.timers.now()
         for kind, held in self.watcher.mirrors.items():
-            if held.needs_copy:
+            pause_s = FOLLOW_S if held.is_following else 0
+            is_due = now - self.asked_at.get(kind, 0) >= pause_s
+            if held.needs_copy and is_due:
+                self.asked_at[kind] = now
                 self.ask_for(kind)
 
     def ask_for(self, kind: str) -> None:
@@ -56,7 +62,7 @@
 
     def _give(self, link: links.Link, kind: str, as_of: int) -> None:
         held = self.watcher.mirrors.get(kind)
-        if held is None or not held.is_synced or held.as_of <= as_of:
+        if held is None or not held.is_synced or held.changed_as_of <= as_of:
             return
         link.send(
             messages.Copy(
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -297,7 +297,7 @@
         match evidence.decide(self.run, failed, RETRY_AFTER_S):
             case evidence.SendAgain(is_retry=is_retry):
                 budget = self.acting.get_budget(self.upstream)
-                entries = self.acting.quotas.count_entries()
+                entries = self.acting.count_budget_entries()
                 if is_retry and not budget.spend(entries, now):
                     return False
                 recording.record_retry(self, failed)
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -175,17 +175,18 @@
 
     def list_addresses(self) -> list[str]:
         """Return the addresses of entries that take callers' requests."""
-        now = self.loop.timers.now()
-        live = {
-            state.address: state.name
-            for state in self.peers.presence.select_live(now)
+        self.peers.review_roles()
+        addresses = {
+            state.address
+            for state in self.peers.roles.serving.values()
             if state.name != self.name and state.revision
         }
-        if self.is_ready():
-            live[self.settings.listeners.front] = self.name
-        addresses = list(live)
-        self.loop.random.shuffle(addresses)
-        return addresses
+        is_used = not (self.peers.roles.stands_by and addresses)
+        if is_used and self.is_ready():
+            addresses.add(self.settings.listeners.front)
+        shuffled = sorted(addresses)
+        self.loop.random.shuffle(shuffled)
+        return shuffled
 
     def announce(self) -> None:
         """Tell peers the state of this entry; revision 0 is not ready."""
@@ -207,6 +208,8 @@
                 self.stopper.is_stopping,
                 configuration.version if configuration and is_ready else 0,
                 len(self.acting.flows),
+                cores=process.cores,
+                period_s=self.peers.roles.get_period_s(),
             ),
         )
 
@@ -248,17 +251,36 @@
         self.evacuation.schedule(worker)
 
     def _beat(self) -> None:
-        if (
-            self.loop.timers.now() - self.announced_at
-            >= self.peers.presence.get_period()
-        ):
+        self._review_role()
+        period_s = self.peers.roles.get_period_s()
+        period_s = period_s or self.peers.presence.get_period()
+        if self.loop.timers.now() - self.announced_at >= period_s:
             self.announce()
 
+    def _review_role(self) -> None:
+        roles = self.peers.roles
+        stands_by = roles.stands_by
+        is_divided = roles.has_standby() and not stands_by
+        self.acting.serving_count = len(roles.serving) * is_divided
+        if stands_by is self.watcher.is_following:
+            return
+        self.log.write(
+            'role',
+            self.name,
+            stands_by=stands_by,
+            serving=len(roles.serving),
+            live=roles.live_count,
+        )
+        self.watcher.set_following(is_following=stands_by)
+        self.announce()
+
     def _do_duties(self) -> None:
         if self.stopper.is_stopping:
             self.sharing.is_holder = False
             return
-        self.holder.tick()
+        is_held = self.holder.get_fence() is not None
+        if is_held or not self.peers.roles.stands_by:
+            self.holder.tick()
         self.sharing.is_holder = self.holder.get_fence() is not None
         if not self.sharing.is_holder:
             self.checkpoint.forget()
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -11,13 +11,13 @@
 from citronjunction.gateway import models
 
 SILENT_INTERVALS = 4  # without a report until a peer counts as silent
-START_INTERVAL_S = 0.25  # between the reports of a peer in a small fleet
+USUAL_PERIOD_S = 0.25  # between the reports of a peer
 # A silent peer may be cut off and still serve; longer than cuts last.
 RESERVED_S = 60.0
 # Part of a quota until the use before a restart is known: with it two windows'
 # use stays within what the deployments allow.
 BLIND_SHARE = 0.08
-UNKNOWN_PEERS = 7  # entries assumed until peers are heard
+UNKNOWN_PEERS = 12  # entries assumed until peers are heard
 SLICE_S = 0.25  # resolution of the window
 
 
@@ -79,6 +79,7 @@
     incarnation: int
     used: dict[str, float]
     heard_at: float
+    period_s: float
     is_leaving: bool = False
 
 
@@ -98,7 +99,6 @@
         'knows_past',
         'past',
         'peers',
-        'silent_s',
         'started_at',
         'sums',
         'used',
@@ -110,7 +110,6 @@
         self.window_s = window_s
         self.started_at = now
         self.knows_past = False
-        self.silent_s = SILENT_INTERVALS * START_INTERVAL_S
         self.sums: dict[str, SlidingSum] = {}
         # The use of all entries before the start, which is also in the sums.
         self.past: dict[str, SlidingSum] = {}
@@ -155,10 +154,11 @@
         incarnation: int,
         used: dict[str, float],
         now: float,
+        period_s: float = USUAL_PERIOD_S,
     ) -> None:
-        """Take the use that a peer told."""
+        """Take the use that a peer told, and when it tells again."""
         known = self.peers.get(name)
-        self.peers[name] = Peer(incarnation, used, now)
+        self.peers[name] = Peer(incarnation, used, now, period_s)
         if known is None:
             return
         before = known.used if known.incarnation == incarnation else {}
@@ -190,10 +190,6 @@
             self.past[name] = SlidingSum(self.window_s)
             self.past[name].restore(past)
 
-    def set_interval(self, interval_s: float) -> None:
-        """Learn how often peers report."""
-        self.silent_s = SILENT_INTERVALS * interval_s
-
     def note_leaving(self, name: str) -> None:
         """Learn that a peer stops; it needs no part once it is silent."""
         peer = self.peers.get(name)
@@ -203,8 +199,10 @@
     def expire(self, now: float) -> None:
         """Drop peers that have left or are silent for long."""
         for name, peer in tuple(self.peers.items()):
-            limit_s = self.silent_s if peer.is_leaving else RESERVED_S
-            if now - peer.heard_at > limit_s:
+            is_expected = not peer.is_leaving
+            if is_expected and now - peer.heard_at <= RESERVED_S:
+                continue
+            if _is_silent(peer, now):
                 self.peers.pop(name)
 
     def count_entries(self) -> int:
@@ -232,14 +230,12 @@
         whole = quota.rate_per_s * self.window_s + quota.burst
         share = self._get_share(now)
         past = self.past.get(organisation.name)
-        before = past.measure(now) if past is not None else 0
+        before = 0 if past is None else past.measure(now)
         return share * whole + (1 - share) * before
 
     def _get_share(self, now: float) -> float:
         """Return the part of a quota that this entry sees the use of."""
-        heard = sum(
-            now - peer.heard_at <= self.silent_s for peer in self.peers.values()
-        )
+        heard = sum(not _is_silent(peer, now) for peer in self.peers.values())
         share = (1 + heard) / self.count_entries()
         is_blind = now - self.started_at < self.window_s
         return (
@@ -247,6 +243,10 @@
         )
 
 
+def _is_silent(peer: Peer, now: float) -> bool:
+    return now - peer.heard_at > SILENT_INTERVALS * peer.period_s
+
+
 def compute_cost(
     organisation: models.Organisation,
     prompt: models.Prompt | None,
--- a/citronjunction/gateway/services.py
+++ b/citronjunction/gateway/services.py
@@ -50,6 +50,12 @@
     offered: dict[str, float] = dataclasses.field(default_factory=dict)
     flows: set[object] = dataclasses.field(default_factory=set)
     is_leaving: bool = False
+    # Entries that share the retry budgets; 0 while all entries do.
+    serving_count: int = 0
+
+    def count_budget_entries(self) -> int:
+        """Return among how many entries a retry budget is divided."""
+        return self.serving_count or self.quotas.count_entries()
 
     def get_budget(self, upstream: str) -> budgets.RetryBudget:
         """Return the retry budget of an upstream."""
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -6,9 +6,10 @@
 from citronjunction.peering import node
 
 INTERVAL_S = 0.25  # between reports; quotas overshoot by this much use
-# Each report reaches every entry, so the interval grows with the fleet beyond
-# this size, for the same bytes an entry.
+# Each report reaches every entry, so the interval grows with those that have
+# something to tell beyond this number, for the same bytes an entry.
 SMALL_FLEET = 8
+IDLE_S = 0.06  # between reports of an idle entry, for each entry that reports
 # Prompts are read within tenths of a second, so that an older report tells
 # nothing of who waits now.
 FRESH_S = 0.75
@@ -34,7 +35,8 @@
         self.loads: dict[str, facts.LoadState] = {}
         self.heard_at: dict[str, float] = {}
         self.is_holder = False
-        self.told: tuple[object, ...] = ()
+        self.published_at = float('-inf')
+        self.was_running = False
 
     def start(self) -> None:
         """Start to publish."""
@@ -42,19 +44,22 @@
 
     def get_interval_s(self) -> float:
         """Return the time between reports at the present fleet size."""
-        entries = 1 + len(self.loads)
-        return INTERVAL_S * max(1, entries / SMALL_FLEET)
+        busy = 1 + sum(bool(load.running) for load in self.loads.values())
+        return INTERVAL_S * max(1, busy / SMALL_FLEET)
 
     def publish(self) -> None:
         """Tell the load of this entry; it is also its sign of life."""
         self.sequence += 1
         acting = self.acting
+        self.published_at = acting.timers.now()
+        running = acting.fleet.measure_load()
+        self.was_running = bool(running)
         self.peers.publish(
             facts.LoadState(
                 self.peers.own_name,
                 self.incarnation,
                 self.sequence,
-                acting.fleet.measure_load(),
+                running,
                 {
                     name: round(used)
                     for name, used in acting.quotas.used.items()
@@ -62,11 +67,22 @@
                 dict(acting.offered),
                 self.ledger.select_recent(),
                 self.is_holder,
+                period_s=self._get_period_s(),
             ),
         )
 
+    def _get_period_s(self) -> float:
+        """Return the longest time to the next report."""
+        interval_s = self.get_interval_s()
+        if self.is_holder or not self.peers.roles.stands_by:
+            return interval_s
+        return max(interval_s, IDLE_S * (1 + len(self.loads)))
+
     def _publish_again(self) -> None:
-        self.publish()
+        waited_s = self.acting.timers.now() - self.published_at
+        is_busy = self.was_running or self.acting.flows
+        if is_busy or waited_s >= self._get_period_s():
+            self.publish()
         self.acting.timers.call_later(
             self.get_interval_s(),
             self._publish_again,
@@ -84,6 +100,7 @@
             fact.incarnation,
             fact.used,
             now,
+            fact.period_s,
         )
         self.ledger.take_report(fact.name, fact.incarnation, fact.windows)
         self._merge_loads(now)
@@ -108,14 +125,13 @@
         for name in tuple(self.loads):
             if not self._is_live(name, now):
                 self.loads.pop(name)
-        self.acting.quotas.set_interval(self.get_interval_s())
         self.acting.quotas.expire(now)
         self._merge_loads(now)
 
     def _is_live(self, name: str, now: float) -> bool:
         limit_s = max(
             self.acting.settings.membership.lost_after_s,
-            LOST_INTERVALS * self.get_interval_s(),
+            LOST_INTERVALS * self.loads[name].period_s,
         )
         return now - self.heard_at.get(name, 0) <= limit_s
 
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -80,6 +80,7 @@
             self._on_probe,
         )
         self.is_suspended = False
+        self.is_following = False
         self.returned_at: float | None = None
 
     @property
@@ -96,6 +97,21 @@
             held.start()
         self.probe.start()
 
+    def set_following(self, *, is_following: bool) -> None:
+        """Take workers and rollouts from peers, or watch the store again.
+
+        The configuration is always watched: it changes seldom, and a request
+        must meet the newest at every entry.
+        """
+        self.is_following = is_following
+        self.probe.is_paused = is_following
+        self.is_suspended = False
+        for kind, held in self.mirrors.items():
+            if not is_following:
+                held.start()
+            elif kind != self.decoder.configuration_kind:
+                held.follow()
+
     def refresh(self, kind: str) -> None:
         """List a kind again, since a peer knows something newer."""
         held = self.mirrors[kind]
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -19,7 +19,8 @@
     """Tell where an entry is and what it does.
 
     ``usage`` is in tokens since the start of the incarnation, ``sent_at``
-    in seconds since the epoch, ``queued`` counts waiting requests by upstream.
+    in seconds since the epoch, ``queued`` counts waiting requests by upstream,
+    ``period_s`` is the time until the next state; 0 is not told.
     """
 
     name: Text
@@ -35,6 +36,8 @@
     running: int = 0
     usage: dict[str, float] = dataclasses.field(default_factory=dict)
     queued: dict[str, int] = dataclasses.field(default_factory=dict)
+    cores: float = 1
+    period_s: float = 0
     kind: Literal['entry'] = 'entry'
 
 
@@ -43,9 +46,10 @@
     """Tell what an entry does at workers and what organisations used.
 
     ``running`` holds by worker its requests, then the unread prompt tokens of
-    each urgency. ``used`` holds quota units by organisation and ``offered`` prompt tokens by upstream,
-    both since the start of the incarnation. ``windows`` holds requests begun
-    by usage window and organisation.
+    each urgency. ``used`` holds quota units by organisation and ``offered``
+    prompt tokens by upstream, both since the start of the incarnation.
+    ``windows`` holds requests begun by usage window and organisation.
+    ``period_s`` is the time until the next report.
     """
 
     name: Text
@@ -60,6 +64,7 @@
         default_factory=dict,
     )
     is_holder: bool = False
+    period_s: float = 0.25
     kind: Literal['load'] = 'load'
 
 
@@ -149,6 +154,8 @@
     SuspectRequest,
 ]
 
+BATCHED = (EntryState, LoadState, EvidenceState)  # sent at intervals
+
 
 def get_key(fact: Fact) -> str:
     """Return what the fact is about."""
@@ -188,13 +195,4 @@
 
 def is_urgent(fact: Fact) -> bool:
     """Tell whether the fact is sent on without waiting for a batch."""
-    return isinstance(
-        fact,
-        (
-            ConfigurationState,
-            TrafficState,
-            LeavingHost,
-            WithdrawnVersion,
-            SuspectRequest,
-        ),
-    )
+    return not isinstance(fact, BATCHED)
--- a/citronjunction/membership/presence.py
+++ b/citronjunction/membership/presence.py
@@ -8,6 +8,9 @@
 
 START_COST_BYTES = 600.0  # sent by a node for one fact, until measured
 MAX_LOST_FACTOR = 3.0  # periods without news until a peer is lost
+# The same for a peer that tells its period, which is long only for those
+# that stand by; a lost one must not be chosen to serve.
+TOLD_LOST_FACTOR = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,16 +48,21 @@
 
     def select_live(self, now: float) -> list[facts.EntryState]:
         """Return entries that are neither lost nor leaving."""
-        lost_s = max(
-            self.settings.lost_after_s,
-            MAX_LOST_FACTOR * self.get_period(),
-        )
+        usual_s = self.get_period()
         return [
             seen.state
             for seen in self.sightings.values()
-            if now - seen.seen_at <= lost_s and not seen.state.is_leaving
+            if now - seen.seen_at <= self._get_lost_s(seen.state, usual_s)
+            and not seen.state.is_leaving
         ]
 
+    def _get_lost_s(self, state: facts.EntryState, usual_s: float) -> float:
+        if state.period_s:
+            lost_s = TOLD_LOST_FACTOR * state.period_s
+        else:
+            lost_s = MAX_LOST_FACTOR * usual_s
+        return max(self.settings.lost_after_s, lost_s)
+
     def forget(self, name: str) -> None:
         """Drop an entry."""
         self.sightings.pop(name, None)
--- a/citronjunction/membership/spread.py
+++ b/citronjunction/membership/spread.py
@@ -1,6 +1,7 @@
 """Spread of facts over the links of a node, without I/O."""
 
 import dataclasses
+import enum
 import random
 
 from citronjunction.membership import facts, messages, table
@@ -12,6 +13,18 @@
 PERIODIC = (facts.EntryState, facts.LoadState)
 
 
+class Forwarding(enum.Enum):
+    """Say over which links periodic facts of others are sent on.
+
+    ``by_role`` is for an entry that serves: all those that serve are linked
+    to each other, each that stands by is linked to a few of them.
+    """
+
+    everywhere = 'everywhere'
+    nowhere = 'nowhere'
+    by_role = 'by role'
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Outgoing:
     """Say which message goes to which link."""
@@ -31,7 +44,7 @@
 class Spreader:
     """Send each new fact once over each link, and repair what was lost."""
 
-    __slots__ = ('forwards', 'links', 'random', 'table')
+    __slots__ = ('forwarding', 'links', 'random', 'serving', 'table')
 
     def __init__(
         self,
@@ -41,7 +54,8 @@
         """Take the facts and a random source."""
         self.table = held
         self.random = source
-        self.forwards = True
+        self.forwarding = Forwarding.everywhere
+        self.serving: frozenset[str] = frozenset()
         self.links: dict[str, Link] = {}
 
     def open_link(self, name: str) -> list[Outgoing]:
@@ -74,8 +88,7 @@
                 _note_known(link, fact)
             merged = self.table.merge(fact, now)
             if merged is not None:
-                if self.forwards or not isinstance(merged, PERIODIC):
-                    self._schedule(merged)
+                self._forward(name, merged)
                 news.append(merged)
         return news
 
@@ -112,11 +125,24 @@
                 link.known.pop(key, None)
                 link.pending.add(key)
 
-    def flush(self, *, only_urgent: bool = False) -> list[Outgoing]:
-        """Return what is to be sent now."""
+    def flush(
+        self,
+        *,
+        only_urgent: bool = False,
+        is_whole: bool = True,
+    ) -> list[Outgoing]:
+        """Return what is to be sent now.
+
+        Unless it is whole, entries that stand by get no reports of load.
+        """
         outgoing = []
         for name, link in self.links.items():
-            chosen = self._take_pending(link, only_urgent)
+            held_back: tuple[type, ...] = ()
+            if only_urgent:
+                held_back = facts.BATCHED
+            elif not is_whole and self._is_standby(name):
+                held_back = (facts.LoadState,)
+            chosen = self._take_pending(link, held_back)
             for start in range(0, len(chosen), MAX_FACTS_PER_MESSAGE):
                 part = tuple(chosen[start : start + MAX_FACTS_PER_MESSAGE])
                 outgoing.append(Outgoing(name, messages.Facts(part)))
@@ -142,14 +168,38 @@
         for link in self.links.values():
             link.pending.add(key)
 
-    def _take_pending(self, link: Link, only_urgent: bool) -> list[facts.Fact]:
+    def _forward(self, sender: str, fact: facts.Fact) -> None:
+        if not isinstance(fact, PERIODIC):
+            self._schedule(fact)
+            return
+        match self.forwarding:
+            case Forwarding.everywhere:
+                self._schedule(fact)
+            case Forwarding.by_role if sender not in self.serving:
+                self._schedule(fact)
+            case Forwarding.by_role:
+                key = facts.get_key(fact)
+                for name, link in self.links.items():
+                    if name not in self.serving:
+                        link.pending.add(key)
+
+    def _is_standby(self, name: str) -> bool:
+        return (
+            self.forwarding is Forwarding.by_role and name not in self.serving
+        )
+
+    def _take_pending(
+        self,
+        link: Link,
+        held_back: tuple[type, ...],
+    ) -> list[facts.Fact]:
         chosen = []
         for key in tuple(link.pending):
             fact = self.table.held.get(key)
             if fact is None:
                 link.pending.discard(key)
                 continue
-            if only_urgent and not facts.is_urgent(fact):
+            if isinstance(fact, held_back):
                 continue
             link.pending.discard(key)
             version = facts.get_version(fact)
--- a/citronjunction/peering/node.py
+++ b/citronjunction/peering/node.py
@@ -14,12 +14,16 @@
     table,
     topology,
 )
+from citronjunction.peering import roles
 from citronjunction.transport import links, runtime
 
 FLUSH_S = 0.25  # longest wait of an ordinary fact
 DIAL_S = 1.0  # interval of the search for missing links
 SYNC_NODES = 40  # fleet size over which anti-entropy slows down
-MAX_INBOUND = 64  # links accepted
+STANDBY_FLUSHES = 10  # flushes between loads told to entries that stand by
+MAX_INBOUND = 512  # links accepted; at its start a whole fleet dials the seeds
+BLIND_DIALS = 3  # peers dialled at once by a node that lost all links
+STANDBY_LINKS = 2  # of an entry that stands by, to entries that serve
 SILENT_PERIODS = 3  # heartbeats missed until a link is closed
 UNREACHABLE_S = 5.0  # time until an unreachable peer is dialled again
 
@@ -68,6 +72,12 @@
         self.is_flushing = False
         self.dial_targets: abc.Callable[[], list[str]] = self.choose_targets
         self.synchronised_at = self.loop.timers.now()
+        self.roles = roles.Roles(
+            settings.membership,
+            own_name,
+            self.presence,
+        )
+        self.flushes = 0
 
     def start(self) -> None:
         """Start the timers."""
@@ -112,18 +122,21 @@
             if self.unreachable.get(node.peer_address, 0) <= now
         ]
         own = topology.Node(self.own_name, '', process.zone)
-        count = self.settings.membership.links
-        chosen = topology.choose_peers(own, usable, count)
+        chosen = self._choose_links(own, usable)
         targets = [
             node.peer_address
             for node in chosen
             if node.name not in self.ready or node.peer_address in self.dialled
         ]
         if not self.ready:
-            seeds = self.settings.membership.seeds.split(',')
-            targets.extend(seed.strip() for seed in seeds if seed.strip())
+            targets.extend(self._choose_blindly())
         return targets
 
+    def review_roles(self) -> None:
+        """Choose anew which entries serve."""
+        self.roles.review(self.loop.timers.now())
+        self.spreader.serving = frozenset(self.roles.serving)
+
     def on_link_open(self, link: links.Link) -> None:
         """Start to use an authenticated link."""
         if link.name == self.own_name:
@@ -146,7 +159,10 @@
         """Take a message of a peer."""
         match message:
             case messages.Facts():
-                self.spreader.forwards = not self._is_full_mesh()
+                self.spreader.forwarding = self.roles.choose_forwarding(
+                    self.ready,
+                    self.loop.timers.now(),
+                )
                 news = self.spreader.receive_facts(
                     link.name,
                     message,
@@ -180,13 +196,32 @@
         self.rejected += 1
         logging.warning('peer link rejected: %s', reason[:200])
 
-    def _is_full_mesh(self) -> bool:
-        """Tell whether every live peer has a link to this node."""
-        live = self.presence.select_live(self.loop.timers.now())
-        return all(
-            state.name in self.ready or state.name == self.own_name
-            for state in live
-        )
+    def _choose_blindly(self) -> list[str]:
+        """Return the seeds and some peers that were live once."""
+        seeds = self.settings.membership.seeds.split(',')
+        targets = [seed.strip() for seed in seeds if seed.strip()]
+        known = [
+            seen.state.peer_address
+            for seen in self.presence.sightings.values()
+            if seen.state.name != self.own_name
+        ]
+        count = min(BLIND_DIALS, len(known))
+        return [*targets, *self.loop.random.sample(known, count)]
+
+    def _choose_links(
+        self,
+        own: topology.Node,
+        usable: list[topology.Node],
+    ) -> list[topology.Node]:
+        serving_nodes = [
+            node for node in usable if node.name in self.roles.serving
+        ]
+        if not self.roles.has_standby() or not serving_nodes:
+            count = self.settings.membership.links
+            return topology.choose_peers(own, usable, count)
+        if self.roles.stands_by:
+            return topology.choose_peers(own, serving_nodes, STANDBY_LINKS)
+        return [node for node in serving_nodes if node.name != own.name]
 
     def _is_preferred(self, older: links.Link, newer: links.Link) -> bool:
         """Tell whether to keep the older of two links.
@@ -219,7 +254,9 @@
         self._send(self.spreader.flush(only_urgent=True))
 
     def _flush(self) -> None:
-        self._send(self.spreader.flush())
+        self.flushes += 1
+        is_whole = self.flushes % STANDBY_FLUSHES == 0
+        self._send(self.spreader.flush(is_whole=is_whole))
 
     def _send(self, outgoing: list[spread.Outgoing]) -> None:
         for item in outgoing:
@@ -231,7 +268,9 @@
         for old in self.table.expire(self.loop.timers.wall()):
             if isinstance(old, facts.EntryState):
                 self.presence.forget(old.name)
+        self.review_roles()
         now = self.loop.timers.now()
+        self._close_silent(now)
         self.unreachable = {
             address: until
             for address, until in self.unreachable.items()
@@ -244,13 +283,12 @@
         for address, link in tuple(self.dialled.items()):
             if targets and address not in targets and link.is_ready:
                 link.close('no longer needed')
-        self._close_silent(now)
         self._synchronise()
 
     def _close_silent(self, now: float) -> None:
         limit_s = max(
             self.settings.membership.lost_after_s,
-            SILENT_PERIODS * self.presence.get_period(),
+            SILENT_PERIODS * self.roles.get_peer_period_s(),
         )
         for link in tuple(self.ready.values()):
             if now - link.received_at > limit_s:
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -52,15 +52,23 @@
         self.as_of = 0
         self.turn = 0
         self.failures = 0
+        self.changed_as_of = 0
+        self.is_following = False
         self.is_synced = False
         self.is_reachable = True
 
     def start(self) -> None:
         """List from the start; an earlier call's result is then ignored."""
         self.turn += 1
+        self.is_following = False
         self.listed.clear()
         self._list('')
 
+    def follow(self) -> None:
+        """Take peers' copies alone until the next start."""
+        self.turn += 1
+        self.is_following = True
+
     def suspend(self) -> None:
         """Ignore calls under way, whose answers may never come."""
         self.turn += 1
@@ -69,7 +77,8 @@
     @property
     def needs_copy(self) -> bool:
         """Tell whether a peer's copy may be newer than this one."""
-        return not (self.is_synced and self.is_reachable)
+        is_current = self.is_synced and self.is_reachable
+        return self.is_following or not is_current
 
     def take_copy(
         self,
@@ -119,6 +128,7 @@
 
     def _finish_list(self, names: set[str], as_of: int) -> None:
         self.as_of = max(self.as_of, as_of)
+        self.changed_as_of = self.as_of
         for name in set(self.held) - names:
             self._remove(name)
         self.is_synced = True
@@ -143,6 +153,7 @@
                     self._apply(change)
                 self.as_of = max(self.as_of, result.as_of)
                 if result.changes:
+                    self.changed_as_of = self.as_of
                     self._watch_later()
                 else:
                     self._watch()
--- a/citronjunction/store/probing.py
+++ b/citronjunction/store/probing.py
@@ -11,7 +11,15 @@
 class Probe:
     """Read one object again and again, at the lowest price."""
 
-    __slots__ = ('is_pending', 'kind', 'name', 'on_result', 'store', 'timers')
+    __slots__ = (
+        'is_paused',
+        'is_pending',
+        'kind',
+        'name',
+        'on_result',
+        'store',
+        'timers',
+    )
 
     def __init__(
         self,
@@ -28,13 +36,14 @@
         self.name = name
         self.on_result = on_result
         self.is_pending = False
+        self.is_paused = False
 
     def start(self) -> None:
         """Start to probe."""
         self.timers.call_every(INTERVAL_S, self._probe)
 
     def _probe(self) -> None:
-        if not self.is_pending:
+        if not self.is_pending and not self.is_paused:
             self.is_pending = True
             self.store.read_stale(self.kind, self.name, self._on_read)
 
--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -74,6 +74,27 @@
     assert started.count(is_reclaimable=False) == 0
 
 
+def test_workers_that_register_late_are_counted_before_the_first_order():
+    market = Market({})
+    for number in range(8):
+        market.held[('abcd'[number % 4], False)] = 1 + number // 4
+        market.run(0.5)
+        assert not market.log
+    market.run(10)
+
+    # Twice those found, as far as the data centres have places.
+    assert market.count(is_reclaimable=True) == 12
+
+
+def test_the_least_is_ordered_if_no_worker_registers():
+    market = Market({})
+    market.run(4)
+    assert not market.log
+    market.run(8)
+
+    assert market.count(is_reclaimable=True) == 4
+
+
 def test_the_first_seconds_of_traffic_take_no_worker_away(started):
     before = started.count(is_reclaimable=True)
     started.run(5, tokens_per_s=4000)
--- /dev/null
+++ b/tests/gateway/test_standby.py
@@ -0,0 +1,160 @@
+"""A large fleet: some entries serve, the others stand by."""
+
+import json
+
+import pytest
+
+from citronjunction.transport import http_client
+from tests.support import platform_system
+
+ENTRIES = 12
+LEAST = 4
+
+
+class Fleet(platform_system.PlatformSystem):
+    """A fleet in which four entries serve."""
+
+    def configure_settings(self, settings):
+        settings.membership.serving = LEAST
+
+    def select_serving(self):
+        return {
+            name
+            for name, held in self.gateways.items()
+            if not held.peers.roles.stands_by
+        }
+
+    def list_addresses(self, name):
+        answer = platform_system.Answer(self.world)
+        address = self.gateways[name].settings.listeners.directory
+        call = http_client.Call(
+            address,
+            'GET',
+            '/api/resolve?name=x&region=r&zone=z1',
+            {},
+            b'',
+            max_idle_s=http_client.NO_REUSE_S,
+        )
+        self.caller_host.client.send(call, answer)
+        self.world.run(0.2)
+        return set(json.loads(answer.body)['addrs'])
+
+    def get_fronts(self, names):
+        return {self.gateways[name].settings.listeners.front for name in names}
+
+
+@pytest.fixture
+def fleet():
+    held = Fleet().build(gateways=ENTRIES)
+    held.world.run(6)
+    return held
+
+
+def test_all_entries_name_the_same_serving_entries(fleet):
+    serving = fleet.select_serving()
+
+    assert len(serving) == LEAST
+    for name in fleet.gateways:
+        assert fleet.list_addresses(name) == fleet.get_fronts(serving)
+
+
+def test_only_serving_entries_watch_workers(fleet):
+    watching = {
+        name
+        for name, held in fleet.gateways.items()
+        if not held.watcher.mirrors['servers'].is_following
+    }
+
+    assert watching == fleet.select_serving()
+
+
+def test_a_standby_serves_whoever_connects(fleet):
+    standby = min(set(fleet.gateways) - fleet.select_serving())
+
+    assert fleet.ask('/safe/x', gateway=standby).status == 200
+
+
+def test_a_standby_learns_of_a_draining_worker_from_its_peers(fleet):
+    standby = min(set(fleet.gateways) - fleet.select_serving())
+    fleet.set_state('app-0', 'draining')
+    fleet.world.run(2.0)
+
+    assert fleet.gateways[standby].acting.fleet.workers['app-0'].is_draining
+
+
+def test_a_new_configuration_is_in_force_at_a_standby(fleet):
+    standby = min(set(fleet.gateways) - fleet.select_serving())
+    fleet.configure(
+        routes=[platform_system.route('new', '/new/', 'safe', 'app')],
+    )
+    fleet.world.run(0.5)
+
+    assert fleet.ask('/new/x', gateway=standby).status == 200
+
+
+def test_a_configuration_reaches_a_standby_whose_watch_hangs(fleet):
+    standby = min(set(fleet.gateways) - fleet.select_serving())
+    held = fleet.gateways[standby].watcher.mirrors['config']
+    held.suspend()
+    held.is_reachable = True
+    fleet.configure(
+        routes=[platform_system.route('new', '/new/', 'safe', 'app')],
+    )
+    fleet.world.run(2.0)
+
+    assert fleet.ask('/new/x', gateway=standby).status == 200
+
+
+def test_standbys_take_the_place_of_lost_entries(fleet):
+    before = fleet.select_serving()
+    for name in sorted(before)[:3]:
+        fleet.gateway_hosts[name].pause(30)
+    fleet.world.run(6)
+    alive = set(fleet.gateways) - set(sorted(before)[:3])
+    after = fleet.select_serving() & alive
+
+    assert len(after) == LEAST
+    for name in alive:
+        assert fleet.list_addresses(name) == fleet.get_fronts(after)
+    fleet.set_state('app-0', 'draining')
+    fleet.world.run(0.5)
+    for name in after:
+        held = fleet.gateways[name]
+        assert held.acting.fleet.workers['app-0'].is_draining
+
+
+def test_a_standby_that_loses_all_peers_watches_the_store(fleet):
+    alone = min(set(fleet.gateways) - fleet.select_serving())
+    for name, host in fleet.gateway_hosts.items():
+        if name != alone:
+            host.pause(60)
+    fleet.world.run(12)
+    fleet.set_state('app-0', 'draining')
+    fleet.world.run(0.5)
+
+    held = fleet.gateways[alone]
+    assert not held.peers.roles.stands_by
+    assert held.acting.fleet.workers['app-0'].is_draining
+
+
+def test_a_quiet_fleet_asks_the_store_seldom(fleet):
+    before = fleet.store.calls
+    fleet.world.run(10)
+
+    # Probes of serving entries, and watches that end after their wait.
+    probes = LEAST * 10
+    watches = ENTRIES + LEAST * 2
+    lease = 2 * 10
+    assert fleet.store.calls - before <= probes + watches + lease
+
+
+def test_serving_entries_know_each_other_s_requests(fleet):
+    for held in fleet.workers.values():
+        held.behaviour.is_mute = True
+    serving = sorted(fleet.select_serving())
+    fleet.send('/unsafe/x', gateway=serving[0], method='POST')
+    fleet.world.run(0.8)
+
+    for name in serving:
+        workers = fleet.gateways[name].acting.fleet.workers.values()
+        assert sum(worker.total_running for worker in workers) == 1
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -139,6 +139,9 @@
         spec = self.store.objects[('servers', name)]['spec']
         self.store.put('servers', name, {**spec, 'state': state, **fields})
 
+    def configure_settings(self, settings):
+        """Change the settings of a gateway, in a deployment of its own."""
+
     def add_gateway(self, name, zone='z1'):
         number = len(self.world.hosts)
         address = f'10.1.0.{number}'
@@ -162,6 +165,7 @@
         )
         settings.attempts.suspect_crashes = 3
         settings.gateway.watch_s = 10
+        self.configure_settings(settings)
         host = self.world.add_host(name)
         built = command.build_node(host, settings, '')
         built.start()
