Keep on-demand workers until the reclaimable ones in their place have started

Change: on-demand workers stay while those that have started are too few; reclaimable ones are then ordered into free places; what a decision orders counts as coming in that decision.

Test fails before.

--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -159,12 +159,15 @@
         scaling = situation.scaling
         zones = sorted(scaling.prices, key=lambda zone: scaling.prices[zone])
         reclaimable = _spread(self._get_need(now), zones, scaling)
+        kept = self._keep_until_start(situation, reclaimable)
+        for zone, count in kept.items():
+            reclaimable[zone] = min(reclaimable[zone], scaling.maximum - count)
         standing = {
-            zone: min(count, self._count_coming(situation, zone, now))
+            zone: self._count_coming(situation, zone, count, now)
             for zone, count in reclaimable.items()
         }
         wanted = {(zone, True): count for zone, count in reclaimable.items()}
-        least = math.ceil(self.peak / MIN_TOKENS_PER_WORKER)
+        least = self._get_least()
         if self._is_dry(now):
             # Reclaims come in waves: bear the loss of a data centre more.
             least += max(standing.values(), default=0)
@@ -176,10 +179,38 @@
                 min(short, free),
                 scaling.minimum - standing[zone],
             )
-            wanted[(zone, False)] = stands_in
+            wanted[(zone, False)] = max(stands_in, kept[zone])
             short = max(0, short - stands_in)
         return wanted
 
+    def _get_least(self) -> int:
+        return math.ceil(self.peak / MIN_TOKENS_PER_WORKER)
+
+    def _keep_until_start(
+        self,
+        situation: Situation,
+        reclaimable: dict[str, int],
+    ) -> dict[str, int]:
+        """Return the on-demand workers that go once others have started."""
+        started = {
+            zone: min(count, _count(situation, zone, is_reclaimable=True))
+            for zone, count in reclaimable.items()
+        }
+        short = max(0, self._get_least() - sum(started.values()))
+        kept = {}
+        for zone, count in started.items():
+            places = situation.scaling.maximum - count
+            kept[zone] = min(short, places, self._get_ordered(situation, zone))
+            short -= kept[zone]
+        return kept
+
+    def _get_ordered(self, situation: Situation, zone: str) -> int:
+        """Return the on-demand workers a data centre has or will have."""
+        sent = self.sent.get((zone, False))
+        if sent is not None:
+            return sent.count
+        return _count(situation, zone, is_reclaimable=False)
+
     def _is_dry(self, now: float) -> bool:
         return any(now < until + DRY_S for until in self.dry_until.values())
 
@@ -187,16 +218,20 @@
         self,
         situation: Situation,
         zone: str,
+        planned: int,
         now: float,
     ) -> int:
         """Return the reclaimable workers that stand or are starting."""
         held = situation.standing.get((zone, True), Standing())
-        ready = held.ready
+        if held.leaving or held.ready >= planned:
+            return min(held.ready, planned)
         sent = self.sent.get((zone, True))
+        if sent is None or sent.count != planned:
+            # The order goes out with this decision.
+            is_open = now >= self.dry_until.get(zone, 0) + DRY_S
+            return planned if is_open else held.ready
         boot_s = situation.scaling.boot_s + BOOT_MARGIN_S
-        if sent is None or held.leaving or now - sent.at > boot_s:
-            return ready
-        return max(ready, sent.count)
+        return held.ready if now - sent.at > boot_s else planned
 
     def _get_need(self, now: float) -> int:
         need = math.ceil(self.peak / TOKENS_PER_WORKER)
--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -146,6 +146,25 @@
     assert started.count(is_reclaimable=True) >= 10
 
 
+def test_on_demand_workers_stay_until_reclaimable_ones_have_started(started):
+    started.run(20, tokens_per_s=200_000)
+    started.is_dry = True
+    for zone in 'abc':
+        started.reclaim(zone)
+    started.run(12, tokens_per_s=200_000)
+    before = started.count(is_reclaimable=False)
+    started.is_dry = False
+    least = before
+    for _ in range(20):
+        started.run(0.5, tokens_per_s=200_000)
+        total = started.count(is_reclaimable=True)
+        total += started.count(is_reclaimable=False)
+        least = min(least, total)
+
+    assert before >= 3
+    assert least >= 200_000 / scaling.MIN_TOKENS_PER_WORKER
+
+
 def test_a_dry_market_is_not_asked_without_end(started):
     started.run(20, tokens_per_s=200_000)
     started.is_dry = True
