--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
-	$(VENV)/bin/flake8 citronjunction tests
+	$(VENV)/bin/flake8 citronjunction soak tests
 	$(VENV)/bin/lint-imports
 
 test: lint
--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -15,7 +15,7 @@
 TOKENS_PER_WORKER = 18000.0  # prompt tokens a second at a comfortable load
 MIN_TOKENS_PER_WORKER = 34000.0  # beyond this first tokens come late
 OBSERVED_S = 12.0  # demand seen for as long replaces the assumption at start
-SETTLED_S = 2.0  # without a new worker until those that stand are all known
+SETTLED_S = 1.0  # without a new worker until those that stand are all known
 START_FACTOR = 2.0  # workers for each on-demand worker found at the start
 PEAK_DECAY_S = 25.0  # time in which a past peak of demand is forgotten
 DRY_S = 2.0  # after the last refusal until the market counts as open again
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised fault soak of real gateway processes on one machine."""
