Wait for the counts of silent peers while a usage report is in time

Change: while a peer that may be serving is silent, the report waits until 1.5 s before it is due. Test fails before.

--- a/citronjunction/duties/reporting.py
+++ b/citronjunction/duties/reporting.py
@@ -8,6 +8,7 @@
 from citronjunction.store import records
 
 KIND = 'citron-usage'
+SEND_S = 1.5  # kept before a report is due, to write and send it
 BACKLOG = 3  # windows that a new holder looks back on
 
 
@@ -19,6 +20,7 @@
         'cloud',
         'clock',
         'done',
+        'has_silent_peer',
         'ledger',
         'log',
         'settings',
@@ -33,27 +35,40 @@
         ledger: usage.UsageLedger,
         steady: clock.SteadyClock,
         log: decisions.DecisionLog,
+        has_silent_peer: abc.Callable[[], bool],
     ) -> None:
-        """Take the counts, and where they are kept and sent."""
+        """Take the counts, where they go, and whether some may be missing."""
         self.settings = settings
         self.store = store
         self.cloud = cloud
         self.ledger = ledger
         self.clock = steady
         self.log = log
+        self.has_silent_peer = has_silent_peer
         self.busy: set[int] = set()
         self.done: set[int] = set()
 
     def step(self, get_fence: abc.Callable[[], models.Fence | None]) -> None:
         """Report the windows that have settled."""
         window_s = self.settings.usage_window_s
-        settled = self.clock.now() - self.settings.usage_settle_s
+        settled = self.clock.now() - self._get_settle_s()
         last = self.ledger.get_window(settled - window_s)
         for window in range(last - BACKLOG + 1, last + 1):
             if window not in self.done and window not in self.busy:
                 self._write(window, get_fence)
         self.done -= {held for held in self.done if held < last - BACKLOG}
 
+    def _get_settle_s(self) -> float:
+        """Return how long to wait for counts after a window's end.
+
+        A silent peer may be cut off and still serve; it is waited for as
+        long as the report is in time.
+        """
+        settle_s = self.settings.usage_settle_s
+        if self.has_silent_peer():
+            return max(settle_s, self.settings.usage_late_s - SEND_S)
+        return settle_s
+
     def _write(
         self,
         window: int,
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -134,6 +134,7 @@
             self.ledger,
             self.clock,
             self.log,
+            self._has_silent_peer,
         )
         self.orderer = ordering.WorkerOrderer(
             self.acting,
@@ -242,6 +243,9 @@
         http.idle_s = limits.idle_s + 1
         self.announce()
 
+    def _has_silent_peer(self) -> bool:
+        return self.acting.quotas.has_silent_peer(self.loop.timers.now())
+
     def _on_begun(self, organisation: str) -> None:
         self.ledger.note(organisation, self.clock.now())
 
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -205,6 +205,10 @@
             if _is_silent(peer, now):
                 self.peers.pop(name)
 
+    def has_silent_peer(self, now: float) -> bool:
+        """Tell whether an entry that may be serving is not heard."""
+        return any(_is_silent(peer, now) for peer in self.peers.values())
+
     def count_entries(self) -> int:
         """Return the entries that may be serving, this one included."""
         return 1 + len(self.peers) if self.peers else UNKNOWN_PEERS
--- a/tests/duties/test_holder.py
+++ b/tests/duties/test_holder.py
@@ -70,6 +70,30 @@
     assert len(find_holder(deployed)) == 1
 
 
+def test_counts_of_an_entry_that_was_cut_off_are_waited_for(deployed):
+    (holder,) = find_holder(deployed)
+    cut = next(name for name in deployed.gateways if name != holder)
+    ask_for(deployed, 6, gateways=(holder,))
+    links = deployed.gateways[cut].peers.ready.values()
+    others = [
+        held.peers for name, held in deployed.gateways.items() if name != cut
+    ]
+    for link in tuple(links):
+        link.close('cut')
+    hold_apart(deployed.gateways[cut].peers, others, is_apart=True)
+    ask_for(deployed, 6, gateways=(cut,))
+    hold_apart(deployed.gateways[cut].peers, others, is_apart=False)
+    deployed.world.run(14)
+
+    reports = check_reports(deployed)
+    assert sum(counts['org'] for counts in reports.values()) == 24
+
+
+def hold_apart(cut, others, is_apart):
+    for node in (cut, *others):
+        node.dial_targets = (lambda: []) if is_apart else node.choose_targets
+
+
 def test_a_successor_goes_on_with_a_higher_fence(deployed):
     ask_for(deployed, 8, gateways=('gateway-0',))
     (first,) = find_holder(deployed)
