Hear of changes through a standby too, and tell loads and the lease at once

Change: an entry that stands by sends on what it hears; one that says it stands by is no home; loads and renewals go out at once. Tests fail before.

--- a/citronjunction/duties/holder.py
+++ b/citronjunction/duties/holder.py
@@ -15,6 +15,10 @@
 READ_S = 2.0  # shortest time between reads of a lease held elsewhere
 
 
+def _ignore() -> None:
+    """Do nothing until somebody listens."""
+
+
 class Holder:
     """Take, renew and lose the lease; times count suspensions of the host."""
 
@@ -25,6 +29,7 @@
         'lease',
         'log',
         'name',
+        'on_renewed',
         'read_at',
         'store',
         'timers',
@@ -52,6 +57,7 @@
         self.is_releasing = False
         self.was_held = False
         self.read_at: float = 0
+        self.on_renewed: abc.Callable[[], None] = _ignore
 
     def get_fence(self) -> models.Fence | None:
         """Return the fence for a call, or nothing if the lease may be lost."""
@@ -119,6 +125,7 @@
         match result:
             case records.Record(revision=revision):
                 self.lease.note_written(str(revision), self.timers.boot())
+                self.on_renewed()
             case _:
                 self.lease.note_failed()
                 self.read_at = 0
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -127,6 +127,7 @@
             self.sharing.is_peer_holder,
         )
         self.sharing.on_lease_told = self.holder.note_told
+        self.holder.on_renewed = self._tell_lease
         self.reporter = reporting.UsageReporter(
             settings.duties,
             adapter.store,
@@ -212,6 +213,7 @@
                 len(self.acting.flows),
                 cores=process.cores,
                 period_s=self.peers.roles.get_period_s(),
+                stands_by=self.peers.roles.stands_by,
             ),
         )
 
@@ -243,6 +245,10 @@
         http.idle_s = limits.idle_s + 1
         self.announce()
 
+    def _tell_lease(self) -> None:
+        if not self.stopper.is_stopping:
+            self.sharing.tell_lease(self.holder.get_version())
+
     def _has_silent_peer(self) -> bool:
         return self.acting.quotas.has_silent_peer(self.loop.timers.now())
 
@@ -288,7 +294,7 @@
         if is_held or not self.peers.roles.stands_by:
             self.holder.tick()
         self.sharing.is_holder = self.holder.get_fence() is not None
-        self.sharing.tell_lease(self.holder.get_version())
+        self._tell_lease()
         if not self.sharing.is_holder:
             self.checkpoint.forget()
             return
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -62,7 +62,7 @@
         self.published_at = acting.timers.now()
         running = acting.fleet.measure_load()
         self.was_running = bool(running)
-        self.peers.publish(
+        self.peers.publish_now(
             facts.LoadState(
                 self.peers.own_name,
                 self.incarnation,
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -38,6 +38,7 @@
     queued: dict[str, int] = dataclasses.field(default_factory=dict)
     cores: float = 1
     period_s: float = 0
+    stands_by: bool = False
     kind: Literal['entry'] = 'entry'
 
 
--- a/citronjunction/peering/node.py
+++ b/citronjunction/peering/node.py
@@ -98,6 +98,11 @@
         if news is not None:
             self._take_news(news)
 
+    def publish_now(self, fact: facts.Fact) -> None:
+        """Tell a fact that would be old by the next flush."""
+        self.publish(fact)
+        self._send(self.spreader.flush(is_whole=False))
+
     def count_sent_bytes(self) -> int:
         """Return the bytes sent on all links so far."""
         live = {*self.ready.values(), *self.dialled.values()}
@@ -219,7 +224,13 @@
             count = self.settings.membership.links
             return topology.choose_peers(own, usable, count)
         if self.roles.stands_by:
-            return [topology.choose_home(own, serving_nodes)]
+            # Views differ; whoever says that it serves hears all the others.
+            sure = [
+                node
+                for node in serving_nodes
+                if not self.roles.serving[node.name].stands_by
+            ]
+            return [topology.choose_home(own, sure or serving_nodes)]
         return [node for node in serving_nodes if node.name != own.name]
 
     def _is_preferred(self, older: links.Link, newer: links.Link) -> bool:
--- a/citronjunction/peering/roles.py
+++ b/citronjunction/peering/roles.py
@@ -80,10 +80,12 @@
             live = self.presence.select_live(now)
             if self._has_all(linked, live):
                 return spread.Forwarding.nowhere
-        elif self.stands_by:
-            return spread.Forwarding.nowhere
-        elif self._has_all(linked, self.serving.values()):
+        elif not self.stands_by and self._has_all(
+            linked,
+            self.serving.values(),
+        ):
             return spread.Forwarding.by_role
+        # Others may take an entry that stands by for one that serves.
         return spread.Forwarding.everywhere
 
     def _has_all(
--- a/tests/gateway/test_standby.py
+++ b/tests/gateway/test_standby.py
@@ -148,6 +148,20 @@
     assert fleet.store.calls - before <= probes + watches + lease
 
 
+def test_an_entry_linked_to_another_standby_still_hears_of_changes(fleet):
+    standbys = sorted(set(fleet.gateways) - fleet.select_serving())
+    first, second = (fleet.gateways[name] for name in standbys[:2])
+    home = second.settings.listeners.control
+    first.peers.dial_targets = lambda: [home]
+    fleet.world.run(10)
+
+    assert list(first.peers.ready) == [second.name]
+    assert first.peers.roles.live_count == ENTRIES
+    fleet.set_state('app-0', 'draining')
+    fleet.world.run(3.0)
+    assert first.acting.fleet.workers['app-0'].is_draining
+
+
 def test_a_store_that_answers_watches_is_not_probed(fleet):
     fleet.world.run(2)
     reads = fleet.store.reads
