--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -127,6 +127,19 @@
             if worker.running
         }
 
+    def measure_outcomes(self, now: float) -> dict[str, tuple[int, int]]:
+        """Return answers and failures of late where some failed."""
+        measured = {
+            name: worker.health.measure(now)
+            for name, worker in self.workers.items()
+            if worker.health.recent
+        }
+        return {
+            name: (answers, failures)
+            for name, (answers, failures) in measured.items()
+            if failures
+        }
+
     def _replace(self, worker: Worker) -> None:
         earlier = self.workers.get(worker.entry.name)
         if earlier is not None:
--- a/citronjunction/gateway/judging.py
+++ b/citronjunction/gateway/judging.py
@@ -1,5 +1,7 @@
 """What answers and failures tell about a worker."""
 
+from collections import abc
+
 from citronjunction.gateway import evidence, fleet, models, services
 
 UNCACHED_BOUNDS = (512, 4096)  # prompt tokens; sizes whose latencies compare
@@ -21,7 +23,7 @@
         latency_s=latency_s,
     )
     if is_good:
-        worker.health.record_success()
+        worker.health.record_success(acting.timers.now())
     elif worker.health.record_failure(acting.timers.now()):
         _log_ejection(acting, worker, 'errors')
 
@@ -48,6 +50,23 @@
             _log_ejection(acting, worker, failed.reason)
 
 
+def take_peer_outcomes(
+    acting: services.Services,
+    told: abc.Iterable[abc.Mapping[str, tuple[int, int]]],
+) -> None:
+    """Add up what the other entries met at workers, and eject outliers."""
+    totals: dict[str, tuple[int, int]] = {}
+    for outcomes in told:
+        for name, (answers, failures) in outcomes.items():
+            known = totals.get(name, (0, 0))
+            totals[name] = (known[0] + answers, known[1] + failures)
+    now = acting.timers.now()
+    for name, worker in acting.fleet.workers.items():
+        worker.health.take_peers(*totals.get(name, (0, 0)))
+        if name in totals and worker.health.review(now):
+            _log_ejection(acting, worker, 'errors that peers met too')
+
+
 def name_route(route: models.Route, unread_tokens: int) -> str:
     """Name a route with the size of what the worker must read."""
     size = sum(unread_tokens >= bound for bound in UNCACHED_BOUNDS)
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from citronjunction.duties import usage
-from citronjunction.gateway import services
+from citronjunction.gateway import judging, services
 from citronjunction.membership import facts
 from citronjunction.peering import node
 
@@ -74,6 +74,7 @@
                 },
                 dict(acting.offered),
                 self.ledger.select_recent(),
+                acting.fleet.measure_outcomes(self.published_at),
                 self.is_holder,
                 self.lease_version,
                 period_s=self._get_period_s(),
@@ -153,8 +154,13 @@
         return now - self.heard_at.get(name, 0) <= limit_s
 
     def _merge_loads(self, now: float) -> None:
-        self.acting.fleet.take_peer_loads(
-            load.running
+        fresh = [
+            load
             for name, load in self.loads.items()
             if now - self.heard_at[name] <= FRESH_S
+        ]
+        self.acting.fleet.take_peer_loads(load.running for load in fresh)
+        judging.take_peer_outcomes(
+            self.acting,
+            (load.outcomes for load in fresh),
         )
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -49,7 +49,8 @@
     ``running`` holds by worker its requests, then the unread prompt tokens of
     each urgency. ``used`` holds quota units by organisation and ``offered``
     prompt tokens by upstream, both since the start of the incarnation.
-    ``windows`` holds requests begun by usage window and organisation.
+    ``windows`` holds requests begun by usage window and organisation,
+    ``outcomes`` the recent answers and failures of workers that failed.
     ``period_s`` is the time until the next report. ``lease_version`` is that
     of the duties' lease if the entry holds it.
     """
@@ -65,6 +66,9 @@
     windows: dict[str, dict[str, int]] = dataclasses.field(
         default_factory=dict,
     )
+    outcomes: dict[str, tuple[int, int]] = dataclasses.field(
+        default_factory=dict,
+    )
     is_holder: bool = False
     lease_version: str = ''
     period_s: float = 0.25
