Count peers as heard at an entry that stands by between their seldom reports

Cause: loads reach such an entry each 2.5 s, but a peer counted as silent after a second, so the entry compared all use with its own part of a quota and refused requests within it (429). Test fails before.

--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -110,13 +110,19 @@
             fact.incarnation,
             fact.used,
             now,
-            fact.period_s,
+            self._get_peer_period_s(fact),
         )
         if fact.lease_version:
             self.on_lease_told(fact.lease_version)
         self.ledger.take_report(fact.name, fact.incarnation, fact.windows)
         self._merge_loads(now)
 
+    def _get_peer_period_s(self, fact: facts.LoadState) -> float:
+        """Return when the next report of a peer arrives at the latest."""
+        if self.peers.roles.stands_by:
+            return max(fact.period_s, node.STANDBY_LOADS_S)
+        return fact.period_s
+
     def tell_lease(self, version: str) -> None:
         """Tell at once that the lease of the duties was renewed."""
         if version != self.lease_version:
--- a/citronjunction/peering/node.py
+++ b/citronjunction/peering/node.py
@@ -21,6 +21,7 @@
 DIAL_S = 1.0  # interval of the search for missing links
 SYNC_NODES = 40  # fleet size over which anti-entropy slows down
 STANDBY_FLUSHES = 10  # flushes between loads told to entries that stand by
+STANDBY_LOADS_S = STANDBY_FLUSHES * FLUSH_S
 MAX_INBOUND = 512  # links accepted; at its start a whole fleet dials the seeds
 BLIND_DIALS = 3  # peers dialled at once by a node that lost all links
 SILENT_PERIODS = 3  # heartbeats missed until a link is closed
--- a/tests/gateway/test_standby.py
+++ b/tests/gateway/test_standby.py
@@ -162,6 +162,20 @@
     assert first.acting.fleet.workers['app-0'].is_draining
 
 
+def test_a_standby_does_not_refuse_what_is_within_the_quota():
+    fleet = Fleet()
+    tenant = {'name': 'org', 'apiKeys': ['key-org'], 'ratePerS': 5, 'burst': 0}
+    fleet.configuration['tenants'] = [tenant]
+    fleet.build(gateways=ENTRIES).world.run(6)
+    serving = sorted(fleet.select_serving())
+    for number in range(20):
+        fleet.ask('/safe/x', gateway=serving[number % LEAST], run_s=0.25)
+    standby = min(set(fleet.gateways) - set(serving))
+
+    answers = [fleet.ask('/safe/x', gateway=standby, run_s=0.1) for _ in '123']
+    assert [answer.status for answer in answers] == [200, 200, 200]
+
+
 def test_a_store_that_answers_watches_is_not_probed(fleet):
     fleet.world.run(2)
     reads = fleet.store.reads
--- /dev/null
+++ b/tests/models/test_usage_model.py
@@ -0,0 +1,135 @@
+"""Every order of counts, reports, losses and kills of a usage window.
+
+Two entries count requests; each may tell the other its counts, late or not at
+all; a window is written once, by a conditional create, and what is written is
+sent, by any holder.
+"""
+
+from citronjunction.duties import usage
+from tests.support import explorer
+
+WINDOW_S = 5.0
+DEPTH = 9
+MOST = 2  # requests of each entry
+
+
+class UsageModel:
+    """Two entries, the store's object of the window, and the sent reports."""
+
+    def __init__(self):
+        self.ledgers = [self.make_ledger(number, 1) for number in range(2)]
+        self.begun = [0, 0]
+        self.told = [None, None]
+        self.incarnations = [1, 1]
+        self.written = None
+        self.sent = []
+
+    def make_ledger(self, number, incarnation):
+        return usage.UsageLedger(WINDOW_S, f'e{number}', incarnation)
+
+    def steps(self):
+        names = []
+        for number in range(2):
+            if self.begun[number] < MOST:
+                names.append(f'count {number}')
+            names.extend((f'tell {number}', f'report {number}'))
+            if self.told[number] is not None:
+                names.append(f'arrive {number}')
+            if self.incarnations[number] == 1:
+                names.append(f'restart {number}')
+        return names
+
+    def do(self, step):
+        verb, _, digit = step.partition(' ')
+        number = int(digit)
+        ledger = self.ledgers[number]
+        match verb:
+            case 'count':
+                self.begun[number] += 1
+                ledger.note('org', 1.0)
+            case 'tell':
+                counts = ledger.select_recent()
+                self.told[number] = (ledger.incarnation, counts)
+            case 'arrive':
+                incarnation, counts = self.told[number]
+                self.ledgers[1 - number].take_report(
+                    f'e{number}', incarnation, counts
+                )
+            case 'restart':
+                self.incarnations[number] = 2
+                self.ledgers[number] = self.make_ledger(number, 2)
+            case 'report':
+                self._report(ledger)
+
+    def _report(self, ledger):
+        counts = dict(ledger.sum_up(0))
+        if self.written is None and counts:
+            self.written = counts
+        if self.written is not None:
+            self.sent.append(self.written)
+
+    def check(self):
+        if any(report != self.sent[0] for report in self.sent):
+            return f'reported in two ways: {self.sent}'
+        total = (self.written or {}).get('org', 0)
+        if total > sum(self.begun):
+            return f'{total} reported of {sum(self.begun)}'
+        return ''
+
+    def freeze(self):
+        return (
+            tuple(self.begun),
+            tuple(self.incarnations),
+            repr(self.told),
+            repr(self.written),
+            repr(self.sent[-1:]),
+            tuple(repr(sorted(held.export().items())) for held in self.ledgers),
+        )
+
+
+def test_no_order_of_events_reports_twice_or_too_much():
+    result = explorer.explore(UsageModel(), DEPTH)
+
+    assert result.trace is None
+    assert result.states > 5_000
+
+
+class NoCreate(UsageModel):
+    """Send what is known now, without writing it down first."""
+
+    def _report(self, ledger):
+        counts = dict(ledger.sum_up(0))
+        if counts:
+            self.written = counts
+            self.sent.append(counts)
+
+    def freeze(self):
+        return (*super().freeze(), repr(self.sent))
+
+
+class OneIncarnation(UsageModel):
+    """Count a restarted entry under the key of the one before, added up."""
+
+    def do(self, step):
+        if step.startswith('arrive'):
+            number = int(step[-1])
+            _, counts = self.told[number]
+            other = self.ledgers[1 - number]
+            fresh = len(other.peers) + 10
+            other.take_report(f'e{number}', fresh, counts)
+            return
+        super().do(step)
+
+
+def test_a_report_that_is_not_written_down_is_found():
+    result = explorer.explore(NoCreate(), DEPTH)
+
+    assert result.trace is not None
+    assert 'two ways' in result.trace[-1]
+
+
+def test_counts_that_are_added_up_twice_are_found():
+    result = explorer.explore(OneIncarnation(), DEPTH)
+
+    assert result.trace is not None
+    assert 'reported of' in result.trace[-1]
