--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -106,12 +106,13 @@
         """
         self.is_following = is_following
         self.probe.is_paused = is_following
+        was_suspended = self.is_suspended
         self.is_suspended = False
         for kind, held in self.mirrors.items():
-            if not is_following:
-                held.start()
-            elif kind != self.decoder.configuration_kind:
+            if is_following and kind != self.decoder.configuration_kind:
                 held.follow()
+            elif was_suspended or not is_following:
+                held.start()
 
     def refresh(self, kind: str) -> None:
         """List a kind again, since a peer knows something newer."""
--- a/tests/gateway/test_standby.py
+++ b/tests/gateway/test_standby.py
@@ -105,6 +105,22 @@
     assert fleet.ask('/new/x', gateway=standby).status == 200
 
 
+def test_a_standby_watches_again_after_an_outage_in_which_it_was_turned(fleet):
+    standby = min(set(fleet.gateways) - fleet.select_serving())
+    watcher = fleet.gateways[standby].watcher
+    fleet.gateways[standby]._review_role = lambda: None
+    watcher.set_following(is_following=False)
+    fleet.world.run(0.5)
+    fleet.store.is_down = True
+    fleet.world.run(5)
+    assert watcher.is_suspended
+    watcher.set_following(is_following=True)
+    fleet.store.is_down = False
+    fleet.world.run(3)
+
+    assert watcher.mirrors['config'].is_reachable
+
+
 def test_standbys_take_the_place_of_lost_entries(fleet):
     before = fleet.select_serving()
     for name in sorted(before)[:3]:
