--- a/tests/observability/test_output.py
+++ b/tests/observability/test_output.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import subprocess
+import sys
 
 import pytest
 
@@ -70,3 +72,23 @@
     os.dup2(writing, reading)
 
     assert not writer.pending
+
+
+def test_records_of_libraries_are_lines_too_from_warnings_up():
+    script = (
+        'import logging\n'
+        'from citronjunction.observability import output\n'
+        'output.start_logging()\n'
+        'logging.getLogger("library").info("connection open")\n'
+        'logging.getLogger("library").warning("odd frame")\n'
+    )
+    result = subprocess.run(
+        (sys.executable, '-c', script),
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+
+    (line,) = result.stdout.splitlines()
+    assert json.loads(line)['message'] == 'odd frame'
+    assert not result.stderr
