--- a/citronjunction/observability/output.py
+++ b/citronjunction/observability/output.py
@@ -83,6 +83,7 @@
     logger.addHandler(handler)
     logger.propagate = False
     logging.set_verbosity(logging.INFO)
+    logger.setLevel(standard.INFO)
     # Libraries tell each connection at INFO; that is no decision.
     root = standard.getLogger()
     root.handlers[:] = [handler]
--- a/tests/observability/test_output.py
+++ b/tests/observability/test_output.py
@@ -74,11 +74,12 @@
     assert not writer.pending
 
 
-def test_records_of_libraries_are_lines_too_from_warnings_up():
+def test_decisions_and_warnings_of_libraries_are_lines():
     script = (
         'import logging\n'
-        'from citronjunction.observability import output\n'
+        'from citronjunction.observability import decisions, output\n'
         'output.start_logging()\n'
+        'decisions.DecisionLog("e", lambda: 1.0).write("start", "e")\n'
         'logging.getLogger("library").info("connection open")\n'
         'logging.getLogger("library").warning("odd frame")\n'
     )
@@ -89,6 +90,7 @@
         text=True,
     )
 
-    (line,) = result.stdout.splitlines()
-    assert json.loads(line)['message'] == 'odd frame'
+    decision, warning = map(json.loads, result.stdout.splitlines())
+    assert decision['decision'] == 'start'
+    assert warning['message'] == 'odd frame'
     assert not result.stderr
