--- a/tests/gateway/test_standby.py
+++ b/tests/gateway/test_standby.py
@@ -105,6 +105,22 @@
     assert fleet.ask('/new/x', gateway=standby).status == 200
 
 
+def test_a_standby_watches_again_after_an_outage_in_which_it_was_turned(fleet):
+    standby = min(set(fleet.gateways) - fleet.select_serving())
+    watcher = fleet.gateways[standby].watcher
+    fleet.gateways[standby]._review_role = lambda: None
+    watcher.set_following(is_following=False)
+    fleet.world.run(0.5)
+    fleet.store.is_down = True
+    fleet.world.run(5)
+    assert watcher.is_suspended
+    watcher.set_following(is_following=True)
+    fleet.store.is_down = False
+    fleet.world.run(3)
+
+    assert watcher.mirrors['config'].is_reachable
+
+
 def test_standbys_take_the_place_of_lost_entries(fleet):
     before = fleet.select_serving()
     for name in sorted(before)[:3]:
@@ -162,6 +178,20 @@
     assert first.acting.fleet.workers['app-0'].is_draining
 
 
+def test_a_standby_does_not_refuse_what_is_within_the_quota():
+    fleet = Fleet()
+    tenant = {'name': 'org', 'apiKeys': ['key-org'], 'ratePerS': 5, 'burst': 0}
+    fleet.configuration['tenants'] = [tenant]
+    fleet.build(gateways=ENTRIES).world.run(6)
+    serving = sorted(fleet.select_serving())
+    for number in range(20):
+        fleet.ask('/safe/x', gateway=serving[number % LEAST], run_s=0.25)
+    standby = min(set(fleet.gateways) - set(serving))
+
+    answers = [fleet.ask('/safe/x', gateway=standby, run_s=0.1) for _ in '123']
+    assert [answer.status for answer in answers] == [200, 200, 200]
+
+
 def test_a_store_that_answers_watches_is_not_probed(fleet):
     fleet.world.run(2)
     reads = fleet.store.reads
--- a/tests/observability/test_output.py
+++ b/tests/observability/test_output.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import subprocess
+import sys
 
 import pytest
 
@@ -70,3 +72,25 @@
     os.dup2(writing, reading)
 
     assert not writer.pending
+
+
+def test_decisions_and_warnings_of_libraries_are_lines():
+    script = (
+        'import logging\n'
+        'from citronjunction.observability import decisions, output\n'
+        'output.start_logging()\n'
+        'decisions.DecisionLog("e", lambda: 1.0).write("start", "e")\n'
+        'logging.getLogger("library").info("connection open")\n'
+        'logging.getLogger("library").warning("odd frame")\n'
+    )
+    result = subprocess.run(
+        (sys.executable, '-c', script),
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+
+    decision, warning = map(json.loads, result.stdout.splitlines())
+    assert decision['decision'] == 'start'
+    assert warning['message'] == 'odd frame'
+    assert not result.stderr
