Tell when the next report comes at the latest, and keep to it

Change: the period follows the size of the fleet, and the next report comes when told. An entry that stands by expects others of its kind by anti-entropy alone. Test fails before.

--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -283,6 +283,7 @@
             live=roles.live_count,
         )
         self.watcher.set_following(is_following=stands_by)
+        self.sharing.note_role()
         self.announce()
 
     def _do_duties(self) -> None:
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from citronjunction.duties import usage
-from citronjunction.gateway import judging, services
+from citronjunction.gateway import judging, quotas, services
 from citronjunction.membership import facts
 from citronjunction.peering import node
 
@@ -11,7 +11,7 @@
 # Each report reaches every entry, so the interval grows with those that have
 # something to tell beyond this number, for the same bytes an entry.
 SMALL_FLEET = 8
-IDLE_S = 0.06  # between reports of an idle entry, for each entry that reports
+IDLE_S = 0.06  # between reports of an entry that stands by, for each entry
 # Prompts are read within tenths of a second, so that an older report tells
 # nothing of who waits now.
 FRESH_S = 0.75
@@ -45,6 +45,8 @@
         self.on_lease_told: abc.Callable[[str], None] = _ignore_lease
         self.published_at = float('-inf')
         self.was_running = False
+        # Peers count this entry as silent by the period they were told.
+        self.told_period_s: float = 0
 
     def start(self) -> None:
         """Start to publish."""
@@ -62,6 +64,7 @@
         self.published_at = acting.timers.now()
         running = acting.fleet.measure_load()
         self.was_running = bool(running)
+        self.told_period_s = self._get_period_s()
         self.peers.publish_now(
             facts.LoadState(
                 self.peers.own_name,
@@ -77,7 +80,7 @@
                 acting.fleet.measure_outcomes(self.published_at),
                 self.is_holder,
                 self.lease_version,
-                period_s=self._get_period_s(),
+                period_s=self.told_period_s,
             ),
         )
 
@@ -86,12 +89,12 @@
         interval_s = self.get_interval_s()
         if self.is_holder or not self.peers.roles.stands_by:
             return interval_s
-        return max(interval_s, IDLE_S * (1 + len(self.loads)))
+        return max(interval_s, IDLE_S * self.peers.roles.live_count)
 
     def _publish_again(self) -> None:
         waited_s = self.acting.timers.now() - self.published_at
         is_busy = self.was_running or self.acting.flows
-        if is_busy or waited_s >= self._get_period_s():
+        if is_busy or waited_s >= self.told_period_s:
             self.publish()
         self.acting.timers.call_later(
             self.get_interval_s(),
@@ -119,9 +122,20 @@
 
     def _get_peer_period_s(self, fact: facts.LoadState) -> float:
         """Return when the next report of a peer arrives at the latest."""
-        if self.peers.roles.stands_by:
+        roles = self.peers.roles
+        if not roles.stands_by:
+            return fact.period_s
+        if fact.name in roles.serving:
             return max(fact.period_s, node.STANDBY_LOADS_S)
-        return fact.period_s
+        # Entries that stand by hear of each other by anti-entropy alone.
+        return quotas.RESERVED_S
+
+    def note_role(self) -> None:
+        """Expect reports of the peers as fits the new role."""
+        roles = self.peers.roles
+        for name, peer in self.acting.quotas.peers.items():
+            if roles.stands_by and name not in roles.serving:
+                peer.period_s = quotas.RESERVED_S
 
     def tell_lease(self, version: str) -> None:
         """Tell at once that the lease of the duties was renewed."""
--- a/tests/gateway/test_standby.py
+++ b/tests/gateway/test_standby.py
@@ -192,6 +192,18 @@
     assert [answer.status for answer in answers] == [200, 200, 200]
 
 
+def test_peers_of_a_calm_fleet_never_count_as_silent(fleet):
+    sync_s = fleet.gateways['gateway-0'].settings.membership.sync_s
+    for _ in range(round(2.5 * sync_s / 0.25)):
+        fleet.world.run(0.25)
+        silent = {
+            name
+            for name, held in fleet.gateways.items()
+            if held.acting.quotas.has_silent_peer(fleet.world.now)
+        }
+        assert not silent
+
+
 def test_a_store_that_answers_watches_is_not_probed(fleet):
     fleet.world.run(2)
     reads = fleet.store.reads
