Tell much use of a quota before the next report is due

Change: an entry that has used a hundredth of a quota since its last report tells it at once, at most each 0.05 s.

--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+from collections import abc
 
 from citronjunction.gateway import models
 
@@ -19,6 +20,13 @@
 BLIND_SHARE = 0.08
 UNKNOWN_PEERS = 12  # entries assumed until peers are heard
 SLICE_S = 0.25  # resolution of the window
+# Part of a quota that an entry may use until it tells its peers; in a flood
+# that is long before the next report is due.
+UNTOLD_SHARE = 0.01
+
+
+def _ignore() -> None:
+    """Do nothing until somebody listens."""
 
 
 class SlidingSum:
@@ -97,10 +105,12 @@
 
     __slots__ = (
         'knows_past',
+        'on_much_used',
         'past',
         'peers',
         'started_at',
         'sums',
+        'untold',
         'used',
         'window_s',
     )
@@ -115,6 +125,8 @@
         self.past: dict[str, SlidingSum] = {}
         self.peers: dict[str, Peer] = {}
         self.used: dict[str, float] = {}
+        self.untold: dict[str, float] = {}
+        self.on_much_used: abc.Callable[[], None] = _ignore
 
     def admit(
         self,
@@ -135,6 +147,7 @@
                 return Over(held.get_wait_s(excess, now), used, limit)
         held.add(cost, now)
         self.used[name] = self.used.get(name, 0) + cost
+        self._note_untold(organisation, cost)
         return None
 
     def refund(
@@ -220,6 +233,21 @@
             self.sums[organisation] = held
         return held
 
+    def note_told(self) -> None:
+        """Learn that the peers were told of all use."""
+        self.untold.clear()
+
+    def _note_untold(
+        self,
+        organisation: models.Organisation,
+        cost: float,
+    ) -> None:
+        untold = self.untold.get(organisation.name, 0) + cost
+        self.untold[organisation.name] = untold
+        whole = _get_whole(organisation, self.window_s)
+        if whole and untold > UNTOLD_SHARE * whole:
+            self.on_much_used()
+
     def _get_limit(
         self,
         organisation: models.Organisation,
@@ -230,8 +258,7 @@
         The use before the start is known of all entries. Only what it leaves
         of the quota is divided among them.
         """
-        quota = organisation.quota
-        whole = quota.rate_per_s * self.window_s + quota.burst
+        whole = _get_whole(organisation, self.window_s)
         share = self._get_share(now)
         past = self.past.get(organisation.name)
         before = 0 if past is None else past.measure(now)
@@ -247,6 +274,14 @@
         )
 
 
+def _get_whole(organisation: models.Organisation, window_s: float) -> float:
+    """Return what may be used in a window; 0 is no limit."""
+    quota = organisation.quota
+    if not quota.rate_per_s:
+        return 0
+    return quota.rate_per_s * window_s + quota.burst
+
+
 def _is_silent(peer: Peer, now: float) -> bool:
     return now - peer.heard_at > SILENT_INTERVALS * peer.period_s
 
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -11,6 +11,7 @@
 # Each report reaches every entry, so the interval grows with those that have
 # something to tell beyond this number, for the same bytes an entry.
 SMALL_FLEET = 8
+EARLIEST_S = 0.05  # between reports in a flood, which bounds their number
 IDLE_S = 0.06  # between reports of an entry that stands by, for each entry
 # Prompts are read within tenths of a second, so that an older report tells
 # nothing of who waits now.
@@ -47,6 +48,7 @@
         self.was_running = False
         # Peers count this entry as silent by the period they were told.
         self.told_period_s: float = 0
+        acting.quotas.on_much_used = self._publish_early
 
     def start(self) -> None:
         """Start to publish."""
@@ -62,6 +64,7 @@
         self.sequence += 1
         acting = self.acting
         self.published_at = acting.timers.now()
+        acting.quotas.note_told()
         running = acting.fleet.measure_load()
         self.was_running = bool(running)
         self.told_period_s = self._get_period_s()
@@ -84,6 +87,11 @@
             ),
         )
 
+    def _publish_early(self) -> None:
+        waited_s = self.acting.timers.now() - self.published_at
+        if waited_s >= EARLIEST_S:
+            self.publish()
+
     def _get_period_s(self) -> float:
         """Return the longest time to the next report."""
         interval_s = self.get_interval_s()
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -252,3 +252,28 @@
                 entries.held[name] = quotas.Quotas(WINDOW_S, entries.now)
 
     assert entries.measure_worst_window() <= ALLOWED
+
+
+def test_much_use_is_told_before_the_next_report_is_due():
+    held = quotas.Quotas(WINDOW_S, 0.0)
+    held.knows_past = True
+    told = []
+    held.on_much_used = lambda: (told.append(1), held.note_told())
+    for _ in range(20):
+        held.admit(ORG, LIMIT * 0.003, 5.0)
+
+    # After each hundredth of the quota.
+    assert len(told) == 5
+
+
+def test_usual_use_is_told_with_the_reports():
+    held = quotas.Quotas(WINDOW_S, 0.0)
+    held.knows_past = True
+    told = []
+    held.on_much_used = lambda: told.append(1)
+    for step in range(64):
+        held.admit(ORG, RATE / 1.8 / 7 * 0.125, 5.0 + step * 0.125)
+        if step % 2:
+            held.note_told()
+
+    assert not told
