Derive who holds the duties from the lease's version

Sharing and its reports kept both a flag and the version of the lease, and two callbacks with a do-nothing default each carried the version back and forth. A version that is not empty is the flag; the node, which hears every fact, hands a peer's version to the holder, and the holder is built with who hears of renewals. What peers say is named as reported, the usual term.

--- a/citronjunction/duties/holder.py
+++ b/citronjunction/duties/holder.py
@@ -15,10 +15,6 @@
 READ_S = 2.0  # shortest time between reads of a lease held elsewhere
 
 
-def _ignore() -> None:
-    """Do nothing until somebody listens."""
-
-
 class Holder:
     """Take, renew and lose the lease; times count suspensions of the host."""
 
@@ -44,8 +40,9 @@
         timers: deadlines.Deadlines,
         log: decisions.DecisionLog,
         is_peer_holder: abc.Callable[[], bool],
+        on_renewed: abc.Callable[[], None],
     ) -> None:
-        """Take the entry's name and whether a live peer tells it holds it."""
+        """Take the name, whether a live peer is the holder, who hears of it."""
         self.name = name
         self.store = store
         self.timers = timers
@@ -57,7 +54,7 @@
         self.is_releasing = False
         self.was_held = False
         self.read_at: float = 0
-        self.on_renewed: abc.Callable[[], None] = _ignore
+        self.on_renewed = on_renewed
 
     def get_fence(self) -> models.Fence | None:
         """Return the fence for a call, or nothing if the lease may be lost."""
@@ -79,9 +76,9 @@
                 self.is_waiting = True
                 self.store.read(KIND, NAME, self._on_read)
 
-    def note_told(self, version: str) -> None:
+    def note_reported(self, version: str) -> None:
         """Learn from the holder which version the lease has by now."""
-        self.lease.note_told(version, self.timers.boot())
+        self.lease.note_reported(version, self.timers.boot())
 
     def get_version(self) -> str:
         """Return the version of the lease if it is held."""
--- a/citronjunction/gateway/judging.py
+++ b/citronjunction/gateway/judging.py
@@ -52,11 +52,11 @@
 
 def take_peer_outcomes(
     acting: services.Services,
-    told: abc.Iterable[abc.Mapping[str, tuple[int, int]]],
+    reported: abc.Iterable[abc.Mapping[str, tuple[int, int]]],
 ) -> None:
     """Add up what the other entries met at workers, and eject outliers."""
     totals: dict[str, tuple[int, int]] = {}
-    for outcomes in told:
+    for outcomes in reported:
         for name, (answers, failures) in outcomes.items():
             known = totals.get(name, (0, 0))
             totals[name] = (known[0] + answers, known[1] + failures)
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -125,9 +125,8 @@
             timers,
             self.log,
             self.sharing.is_peer_holder,
+            self._tell_lease,
         )
-        self.sharing.on_lease_told = self.holder.note_told
-        self.holder.on_renewed = self._tell_lease
         self.reporter = reporting.UsageReporter(
             settings.duties,
             adapter.store,
@@ -219,10 +218,15 @@
 
     def on_fact(self, fact: facts.Fact) -> None:
         """Act on news of the peers."""
-        if isinstance(fact, facts.EntryState):
-            self._take_entry(fact)
-        else:
-            self.exchange.take_fact(fact)
+        match fact:
+            case facts.EntryState():
+                self._take_entry(fact)
+            case facts.LoadState(name=name, lease_version=version):
+                if version and name != self.name:
+                    self.holder.note_reported(version)
+                self.exchange.take_fact(fact)
+            case _:
+                self.exchange.take_fact(fact)
 
     def on_request(self, link: links.Link, message: messages.Message) -> None:
         """Take a message about stored objects."""
@@ -288,15 +292,13 @@
 
     def _do_duties(self) -> None:
         if self.stopper.is_stopping:
-            self.sharing.is_holder = False
             self.sharing.lease_version = ''
             return
         is_held = self.holder.get_fence() is not None
         if is_held or not self.peers.roles.stands_by:
             self.holder.tick()
-        self.sharing.is_holder = self.holder.get_fence() is not None
         self._tell_lease()
-        if not self.sharing.is_holder:
+        if self.holder.get_fence() is None:
             self.checkpoint.forget()
             return
         self.checkpoint.step()
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -20,9 +20,9 @@
 BLIND_SHARE = 0.08
 UNKNOWN_PEERS = 12  # entries assumed until peers are heard
 SLICE_S = 0.25  # resolution of the window
-# Part of a quota that an entry may use until it tells its peers; in a flood
-# that is long before the next report is due.
-UNTOLD_SHARE = 0.01
+# Part of a quota that an entry may use until it reports to its peers; in a
+# flood that is long before the next report is due.
+UNREPORTED_SHARE = 0.01
 
 
 def _ignore() -> None:
@@ -82,7 +82,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """Hold what a peer told: its use by organisation since its start."""
+    """Hold a peer's report: its use by organisation since its start."""
 
     incarnation: int
     used: dict[str, float]
@@ -110,7 +110,7 @@
         'peers',
         'started_at',
         'sums',
-        'untold',
+        'unreported',
         'used',
         'window_s',
     )
@@ -125,7 +125,7 @@
         self.past: dict[str, SlidingSum] = {}
         self.peers: dict[str, Peer] = {}
         self.used: dict[str, float] = {}
-        self.untold: dict[str, float] = {}
+        self.unreported: dict[str, float] = {}
         self.on_much_used: abc.Callable[[], None] = _ignore
 
     def admit(
@@ -147,7 +147,7 @@
                 return Over(held.get_wait_s(excess, now), used, limit)
         held.add(cost, now)
         self.used[name] = self.used.get(name, 0) + cost
-        self._note_untold(organisation, cost)
+        self._note_unreported(organisation, cost)
         return None
 
     def refund(
@@ -169,7 +169,7 @@
         now: float,
         period_s: float = USUAL_PERIOD_S,
     ) -> None:
-        """Take the use that a peer told, and when it tells again."""
+        """Take the use that a peer reported, and when it reports again."""
         known = self.peers.get(name)
         self.peers[name] = Peer(incarnation, used, now, period_s)
         if known is None:
@@ -233,19 +233,19 @@
             self.sums[organisation] = held
         return held
 
-    def note_told(self) -> None:
-        """Learn that the peers were told of all use."""
-        self.untold.clear()
+    def note_reported(self) -> None:
+        """Learn that all use was reported to the peers."""
+        self.unreported.clear()
 
-    def _note_untold(
+    def _note_unreported(
         self,
         organisation: models.Organisation,
         cost: float,
     ) -> None:
-        untold = self.untold.get(organisation.name, 0) + cost
-        self.untold[organisation.name] = untold
+        unreported = self.unreported.get(organisation.name, 0) + cost
+        self.unreported[organisation.name] = unreported
         whole = _get_whole(organisation, self.window_s)
-        if whole and untold > UNTOLD_SHARE * whole:
+        if whole and unreported > UNREPORTED_SHARE * whole:
             self.on_much_used()
 
     def _get_limit(
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -1,7 +1,5 @@
 """What a gateway tells its peers and hears from them."""
 
-from collections import abc
-
 from citronjunction.duties import usage
 from citronjunction.gateway import judging, quotas, services
 from citronjunction.membership import facts
@@ -19,10 +17,6 @@
 LOST_INTERVALS = 4  # without a report until a peer's load is dropped
 
 
-def _ignore_lease(version: str) -> None:
-    """Do nothing until the holder of duties listens."""
-
-
 class Sharing:
     """Publish this entry's load and merge that of its peers."""
 
@@ -33,7 +27,7 @@
         ledger: usage.UsageLedger,
         incarnation: int,
     ) -> None:
-        """Take what is told and where peers' reports go."""
+        """Take what is reported and where peers' reports go."""
         self.acting = acting
         self.peers = peers
         self.ledger = ledger
@@ -41,13 +35,12 @@
         self.sequence = 0
         self.loads: dict[str, facts.LoadState] = {}
         self.heard_at: dict[str, float] = {}
-        self.is_holder = False
+        # Empty unless this entry holds the duties.
         self.lease_version = ''
-        self.on_lease_told: abc.Callable[[str], None] = _ignore_lease
         self.published_at = float('-inf')
         self.was_running = False
-        # Peers count this entry as silent by the period they were told.
-        self.told_period_s: float = 0
+        # Peers count this entry as silent by this period.
+        self.reported_period_s: float = 0
         acting.quotas.on_much_used = self._publish_early
 
     def start(self) -> None:
@@ -64,10 +57,10 @@
         self.sequence += 1
         acting = self.acting
         self.published_at = acting.timers.now()
-        acting.quotas.note_told()
+        acting.quotas.note_reported()
         running = acting.fleet.measure_load()
         self.was_running = bool(running)
-        self.told_period_s = self._get_period_s()
+        self.reported_period_s = self._get_period_s()
         self.peers.publish_now(
             facts.LoadState(
                 self.peers.own_name,
@@ -81,9 +74,8 @@
                 dict(acting.offered),
                 self.ledger.select_recent(),
                 acting.fleet.measure_outcomes(self.published_at),
-                self.is_holder,
                 self.lease_version,
-                period_s=self.told_period_s,
+                period_s=self.reported_period_s,
             ),
         )
 
@@ -95,14 +87,14 @@
     def _get_period_s(self) -> float:
         """Return the longest time to the next report."""
         interval_s = self.get_interval_s()
-        if self.is_holder or not self.peers.roles.stands_by:
+        if self.lease_version or not self.peers.roles.stands_by:
             return interval_s
         return max(interval_s, IDLE_S * self.peers.roles.live_count)
 
     def _publish_again(self) -> None:
         waited_s = self.acting.timers.now() - self.published_at
         is_busy = self.was_running or self.acting.flows
-        if is_busy or waited_s >= self.told_period_s:
+        if is_busy or waited_s >= self.reported_period_s:
             self.publish()
         self.acting.timers.call_later(
             self.get_interval_s(),
@@ -110,7 +102,7 @@
         )
 
     def take(self, fact: facts.LoadState) -> None:
-        """Merge what a peer told."""
+        """Merge a peer's report."""
         if fact.name == self.peers.own_name:
             return
         now = self.acting.timers.now()
@@ -123,8 +115,6 @@
             now,
             self._get_peer_period_s(fact),
         )
-        if fact.lease_version:
-            self.on_lease_told(fact.lease_version)
         self.ledger.take_report(fact.name, fact.incarnation, fact.windows)
         self._merge_loads(now)
 
@@ -146,7 +136,7 @@
                 peer.period_s = quotas.RESERVED_S
 
     def tell_lease(self, version: str) -> None:
-        """Tell at once that the lease of the duties was renewed."""
+        """Tell at once that the lease was renewed or, if empty, is not held."""
         if version != self.lease_version:
             self.lease_version = version
             self.publish()
@@ -154,14 +144,14 @@
     def get_offered(self, upstream: str) -> float:
         """Return the prompt tokens offered to all live entries so far."""
         own = self.acting.offered.get(upstream, 0)
-        told = (load.offered.get(upstream, 0) for load in self.loads.values())
-        return own + sum(told)
+        peers = (load.offered.get(upstream, 0) for load in self.loads.values())
+        return own + sum(peers)
 
     def is_peer_holder(self) -> bool:
         """Tell whether a live peer says that it holds the duties."""
         now = self.acting.timers.now()
         return any(
-            load.is_holder and self._is_live(name, now)
+            load.lease_version and self._is_live(name, now)
             for name, load in self.loads.items()
         )
 
--- a/citronjunction/leases/models.py
+++ b/citronjunction/leases/models.py
@@ -101,7 +101,7 @@
             return self._write(self._get_last_epoch() + 1, now)
         return Read()
 
-    def note_told(self, version: str, now: float) -> None:
+    def note_reported(self, version: str, now: float) -> None:
         """Learn from its holder which version the lease has by now."""
         if self.pending is None and version != self.observed:
             self.observed = version
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -52,7 +52,7 @@
     ``windows`` holds requests begun by usage window and organisation,
     ``outcomes`` the recent answers and failures of workers that failed.
     ``period_s`` is the time until the next report. ``lease_version`` is that
-    of the duties' lease if the entry holds it.
+    of the duties' lease if the entry holds it, or empty.
     """
 
     name: Text
@@ -69,7 +69,6 @@
     outcomes: dict[str, tuple[int, int]] = dataclasses.field(
         default_factory=dict,
     )
-    is_holder: bool = False
     lease_version: str = ''
     period_s: float = 0.25
     kind: Literal['load'] = 'load'
--- a/citronjunction/membership/presence.py
+++ b/citronjunction/membership/presence.py
@@ -10,7 +10,7 @@
 MAX_LOST_FACTOR = 3.0  # periods without news until a peer is lost
 # The same for a peer that tells its period, which is long only for those
 # that stand by; a lost one must not be chosen to serve.
-TOLD_LOST_FACTOR = 1.5
+REPORTED_LOST_FACTOR = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,7 +58,7 @@
 
     def _get_lost_s(self, state: facts.EntryState, usual_s: float) -> float:
         if state.period_s:
-            lost_s = TOLD_LOST_FACTOR * state.period_s
+            lost_s = REPORTED_LOST_FACTOR * state.period_s
         else:
             lost_s = MAX_LOST_FACTOR * usual_s
         return max(self.settings.lost_after_s, lost_s)
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -182,11 +182,15 @@
 
 
 def restart_all(entries, saved, elapsed_s):
+    restart_without_news(entries, saved, elapsed_s)
+    entries.tell()
+
+
+def restart_without_news(entries, saved, elapsed_s):
     for name in entries.held:
         held = quotas.Quotas(WINDOW_S, entries.now)
         held.restore(saved, elapsed_s, entries.now)
         entries.held[name] = held
-    entries.tell()
 
 
 def test_usual_use_passes_after_the_restart_of_all_entries():
@@ -209,10 +213,7 @@
         if step % 5 == 0:
             entries.tell()
     saved = entries.held['e0'].export(entries.now)
-    for name in entries.held:
-        held = quotas.Quotas(WINDOW_S, entries.now)
-        held.restore(saved, 0.7, entries.now)
-        entries.held[name] = held
+    restart_without_news(entries, saved, 0.7)
 
     for step in range(20):
         entries.now += 0.05
@@ -228,9 +229,7 @@
         if step % 5 == 0:
             entries.tell()
     saved = entries.held['e0'].export(entries.now)
-    for name in entries.held:
-        entries.held[name] = quotas.Quotas(WINDOW_S, entries.now)
-        entries.held[name].restore(saved, 0.0, entries.now)
+    restart_without_news(entries, saved, 0.0)
     for _ in range(60):
         entries.now += 0.05
         for name in entries.held:
@@ -258,7 +257,7 @@
     held = quotas.Quotas(WINDOW_S, 0.0)
     held.knows_past = True
     told = []
-    held.on_much_used = lambda: (told.append(1), held.note_told())
+    held.on_much_used = lambda: (told.append(1), held.note_reported())
     for _ in range(20):
         held.admit(ORG, LIMIT * 0.003, 5.0)
 
@@ -274,6 +273,6 @@
     for step in range(64):
         held.admit(ORG, RATE / 1.8 / 7 * 0.125, 5.0 + step * 0.125)
         if step % 2:
-            held.note_told()
+            held.note_reported()
 
     assert not told
--- a/tests/models/test_lease_model.py
+++ b/tests/models/test_lease_model.py
@@ -65,7 +65,7 @@
         sent = self.sent[number]
         match verb:
             case 'tell of':
-                self.nodes[1 - number].note_told(node.version, self.now)
+                self.nodes[1 - number].note_reported(node.version, self.now)
             case 'act':
                 self._act(number, node)
             case 'arrive':
