Build the platform's messages of tests and soak in one place

Configuration, worker entries, callers' requests and questions for addresses were written in the stand-in deployment, the soak and a test each; the soak named the wire by itself. The test of boundaries looks at the soak too.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 
 from citronjunction.transport import http_client
 from soak import system
+from tests.support import platform_system
 
 KINDS = ('safe', 'unsafe', 'stream')
 DEADLINE_S = 2.0
@@ -46,11 +47,8 @@
         """Ask a random entry for addresses; keep the old ones if it fails."""
         loop = self.traffic.system.loop
         entry = loop.random.choice(list(self.traffic.system.entries.values()))
-        call = http_client.Call(
-            entry.ports['directory'],
-            'GET',
-            '/api/resolve?name=x&region=r&zone=z1',
-            max_idle_s=http_client.NO_REUSE_S,
+        call = dataclasses.replace(
+            platform_system.make_directory_call(entry.ports['directory']),
             silence_s=1.0,
         )
         reply = http_client.WholeReply(self._on_addresses, self._on_addresses)
@@ -75,18 +73,16 @@
         address = loop.random.choice(self.addresses)
         self.current = Request(name, kind, address, loop.timers.now())
         self.traffic.requests.append(self.current)
-        call = http_client.Call(
-            address,
-            'GET' if kind == 'safe' else 'POST',
-            f'/{kind}/{name}',
-            {
-                'Attempt-Id': name,
-                'Deadline-Ms': str(round(DEADLINE_S * 1000)),
-                'Authorization': 'Bearer key-org',
-            },
-            host='x.example',
+        call = dataclasses.replace(
+            platform_system.make_call(
+                address,
+                'GET' if kind == 'safe' else 'POST',
+                f'/{kind}/{name}',
+                name,
+                DEADLINE_S,
+            ),
             silence_s=DEADLINE_S * 2,
-            echo=http_client.Echo('attempt-id', name),
+            echo=platform_system.make_echo(name),
         )
         self.call = loop.client.send(call, self)
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -92,12 +92,8 @@
 
 def check_usage(held: system.System) -> list[str]:
     """Return the windows of usage that were reported in two ways."""
-    reports = collections.defaultdict(set)
-    for _, document in held.cloud.usage:
-        key = str(document['windowId'])
-        reports[key].add(str(sorted(document.items(), key=str)))
     return [
-        f'usage of window {window} reported in {len(told)} ways'
-        for window, told in reports.items()
-        if len(told) > 1
+        f'usage of window {window} reported as {reports}'
+        for window, reports in held.cloud.group_usage().items()
+        if any(counts != reports[0] for counts in reports)
     ]
--- a/soak/running.py
+++ b/soak/running.py
@@ -7,6 +7,7 @@
 
 from citronjunction.transport import http_client
 from soak import callers, faults, promises, system
+from tests.support import platform_system
 
 START_S = 60.0  # until all entries are ready; a loaded machine takes its time
 RECOVER_S = 60.0  # until all entries serve again after the last fault
@@ -136,18 +137,16 @@
         entry = self.system.entries[name]
         route = self.system.configuration['routes'][-1]
         kind = 'POST' if route['type'] == 'stream' else 'GET'
-        call = http_client.Call(
-            entry.ports['front'],
-            kind,
-            f'{route["pathPrefix"]}probe',
-            {
-                'Attempt-Id': f'probe-{name}-{self.loop.timers.now()}',
-                'Deadline-Ms': '2000',
-                'Authorization': 'Bearer key-org',
-            },
-            host='x.example',
+        call = dataclasses.replace(
+            platform_system.make_call(
+                entry.ports['front'],
+                kind,
+                f'{platform_system.get_prefix(route)}probe',
+                f'probe-{name}-{self.loop.timers.now()}',
+                callers.DEADLINE_S,
+            ),
             max_idle_s=http_client.NO_REUSE_S,
-            silence_s=2.0,
+            silence_s=callers.DEADLINE_S,
         )
         note = functools.partial(self._note_probe, name)
         self.loop.client.send(call, http_client.WholeReply(note, note))
--- a/soak/system.py
+++ b/soak/system.py
@@ -111,26 +111,17 @@
         self.workers: dict[str, platform_worker.PlatformWorker] = {}
         self.worker_links: dict[str, links.Link] = {}
         self.departed: list[platform_worker.PlatformWorker] = []
-        self.configuration = {
-            'version': 1,
-            'routes': [
-                platform_system.route('safe', '/safe/', 'safe', 'app'),
-                platform_system.route('unsafe', '/unsafe/', 'unsafe', 'app'),
-                platform_system.route(
-                    'stream',
-                    '/stream/',
-                    'stream',
-                    'llm',
-                    resumable=True,
-                ),
-            ],
-            'services': [
-                {'name': 'app', 'healthPath': '/healthz', 'maxConns': 100},
-                {'name': 'llm', 'healthPath': '/healthz', 'maxConns': 100},
-            ],
-            'limits': platform_system.LIMITS,
-            'tenants': [{'name': 'org', 'apiKeys': ['key-org']}],
-        }
+        self.configuration = platform_system.make_configuration(
+            platform_system.route('safe', '/safe/', 'safe', 'app'),
+            platform_system.route('unsafe', '/unsafe/', 'unsafe', 'app'),
+            platform_system.route(
+                'stream',
+                '/stream/',
+                'stream',
+                'llm',
+                resumable=True,
+            ),
+        )
         self.store.put('config', 'main', self.configuration)
         for name in WORKERS:
             self.add_worker(name, name.partition('-')[0])
@@ -172,17 +163,11 @@
 
     def register(self, name: str, service: str, state: str) -> None:
         """Write a worker's entry."""
-        spec = {
-            'service': service,
-            'addr': self.worker_links[name].address,
-            'zone': ZONES[0],
-            'version': 'v1',
-            'slots': 6,
-            'state': state,
-            'coldLeftMs': 0,
-            'seq': 1,
-            'born': 1000,
-        }
+        spec = platform_system.make_worker_spec(
+            service,
+            self.worker_links[name].address,
+            state=state,
+        )
         self.store.put('servers', name, spec)
 
     def retire(self, name: str) -> None:
--- a/tests/duties/test_holder.py
+++ b/tests/duties/test_holder.py
@@ -44,9 +44,9 @@
 
 def check_reports(deployed):
     by_window = {}
-    for _, report in deployed.cloud.usage:
-        counts = by_window.setdefault(report['windowId'], report['counts'])
-        assert counts == report['counts']
+    for window, reports in deployed.cloud.group_usage().items():
+        by_window[window] = reports[0]
+        assert all(counts == reports[0] for counts in reports)
     return by_window
 
 
--- a/tests/gateway/test_standby.py
+++ b/tests/gateway/test_standby.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from citronjunction.transport import http_client
 from tests.support import platform_system
 
 ENTRIES = 12
@@ -26,14 +25,8 @@
 
     def list_addresses(self, name):
         answer = platform_system.Answer(self.world)
-        address = self.gateways[name].settings.listeners.directory
-        call = http_client.Call(
-            address,
-            'GET',
-            '/api/resolve?name=x&region=r&zone=z1',
-            {},
-            b'',
-            max_idle_s=http_client.NO_REUSE_S,
+        call = platform_system.make_directory_call(
+            self.gateways[name].settings.listeners.directory,
         )
         self.caller_host.client.send(call, answer)
         self.world.run(0.2)
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -160,6 +160,13 @@
         self.is_down = False
         self.is_dry = False
 
+    def group_usage(self):
+        """Return the counts reported of each window, in order."""
+        grouped = {}
+        for _, report in self.usage:
+            grouped.setdefault(report['windowId'], []).append(report['counts'])
+        return grouped
+
     def handle(self, exchange):
         request = exchange.request
         if self.is_down:
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -1,5 +1,6 @@
 """A deployment on stand-ins of the platform, in virtual time."""
 
+import dataclasses
 import itertools
 
 from citronjunction.commands import gateway as command
@@ -37,6 +38,74 @@
     }
 
 
+def get_prefix(held):
+    """Return the path that requests of a route begin with."""
+    return held['pathPrefix']
+
+
+def make_configuration(*routes):
+    """Return a configuration with two upstreams and two organisations."""
+    return {
+        'version': 1,
+        'routes': list(routes),
+        'services': [
+            {'name': 'app', 'healthPath': '/healthz', 'maxConns': 100},
+            {'name': 'llm', 'healthPath': '/healthz', 'maxConns': 100},
+        ],
+        'limits': LIMITS,
+        'tenants': [
+            {'name': name, 'apiKeys': [KEY.format(name)]}
+            for name in ('org', 'other')
+        ],
+    }
+
+
+def make_worker_spec(service, address, zone='z1', state='ready', version='v1'):
+    """Return what a worker registers."""
+    return {
+        'service': service,
+        'addr': address,
+        'zone': zone,
+        'version': version,
+        'slots': 6,
+        'state': state,
+        'coldLeftMs': 0,
+        'seq': 1,
+        'born': 1000,
+    }
+
+
+def make_call(address, method, path, name, deadline_s, organisation='org'):
+    """Return a caller's request; ``name`` is its id."""
+    return http_client.Call(
+        address,
+        method,
+        path,
+        {
+            'Attempt-Id': name,
+            'Deadline-Ms': str(round(deadline_s * 1000)),
+            'Authorization': f'Bearer {KEY.format(organisation)}',
+        },
+        host=HOST,
+    )
+
+
+def make_echo(name):
+    """Return what an answer to the request of that id repeats."""
+    return http_client.Echo('attempt-id', name)
+
+
+def make_directory_call(address):
+    """Return a caller's question which addresses to use."""
+    path = f'/api/resolve?name={HOST}&region=r&zone=z1'
+    return http_client.Call(
+        address,
+        'GET',
+        path,
+        max_idle_s=http_client.NO_REUSE_S,
+    )
+
+
 class Answer:
     """Collect what a caller gets."""
 
@@ -86,24 +155,12 @@
         self._serve(self.platform_host, self.store, STORE_PORT)
         self._serve(self.platform_host, self.cloud, CLOUD_PORT)
         self.caller_host = self.world.add_host('caller')
-        self.configuration = {
-            'version': 1,
-            'routes': [
-                route('safe', '/safe/', 'safe', 'app'),
-                route('unsafe', '/unsafe/', 'unsafe', 'app', attempts=2),
-                route('stream', '/stream/', 'stream', 'llm'),
-                route('resume', '/stream/r/', 'stream', 'llm', resumable=True),
-            ],
-            'services': [
-                {'name': 'app', 'healthPath': '/healthz', 'maxConns': 100},
-                {'name': 'llm', 'healthPath': '/healthz', 'maxConns': 100},
-            ],
-            'limits': LIMITS,
-            'tenants': [
-                {'name': 'org', 'apiKeys': [KEY.format('org')]},
-                {'name': 'other', 'apiKeys': [KEY.format('other')]},
-            ],
-        }
+        self.configuration = make_configuration(
+            route('safe', '/safe/', 'safe', 'app'),
+            route('unsafe', '/unsafe/', 'unsafe', 'app', attempts=2),
+            route('stream', '/stream/', 'stream', 'llm'),
+            route('resume', '/stream/r/', 'stream', 'llm', resumable=True),
+        )
 
     def configure(self, **changes):
         """Write the next version of the configuration."""
@@ -120,18 +177,10 @@
         served.listen(address, 8080)
         self.workers[name] = held
         self.worker_hosts[name] = host
-        spec = {
-            'service': service,
-            'addr': f'{address}:8080',
-            'zone': zone,
-            'version': version,
-            'slots': 6,
-            'state': 'ready',
-            'coldLeftMs': 0,
-            'seq': 1,
-            'born': 1000,
-            **fields,
-        }
+        spec = make_worker_spec(
+            service, f'{address}:8080', zone, version=version
+        )
+        spec.update(fields)
         self.store.put('servers', name, spec)
         return held
 
@@ -197,20 +246,19 @@
         """Send a caller's request; return what collects the answer."""
         answer = Answer(self.world)
         named = {key.replace('_', '-'): text for key, text in headers.items()}
-        call = http_client.Call(
-            self.gateways[gateway].settings.listeners.front,
-            method,
-            path,
-            {
-                'Attempt-Id': f'request-{next(self.ids)}',
-                'Deadline-Ms': str(deadline_ms),
-                'Authorization': f'Bearer {KEY.format(organisation)}',
-                **named,
-            },
-            body,
+        call = dataclasses.replace(
+            make_call(
+                self.gateways[gateway].settings.listeners.front,
+                method,
+                path,
+                f'request-{next(self.ids)}',
+                deadline_ms / 1000,
+                organisation,
+            ),
+            body=body,
             max_idle_s=http_client.NO_REUSE_S,
-            host=HOST,
         )
+        call.headers.update(named)
         answer.call = self.caller_host.client.send(call, answer)
         return answer
 
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -4,6 +4,7 @@
 import re
 
 ROOT = pathlib.Path(__file__).parent.parent / 'citronjunction'
+SOAK = ROOT.parent / 'soak'
 WIRE_NAMES = re.compile(
     'Attempt-Id|Deadline-Ms|Prefix-Hash|Token-Usage|Expect-Instance'
     '|Expect-Version|Not-Executed|Fencing-Token|Request-Priority|Kv-From'
@@ -14,10 +15,14 @@
 
 
 def test_wire_names_stand_in_the_adapter_alone():
+    outside = [
+        path
+        for path in (*ROOT.rglob('*.py'), *SOAK.rglob('*.py'))
+        if 'platform' not in path.relative_to(ROOT.parent).parts
+    ]
     found = [
-        f'{path.relative_to(ROOT)}: {match.group()}'
-        for path in sorted(ROOT.rglob('*.py'))
-        if 'platform' not in path.relative_to(ROOT).parts
+        f'{path.relative_to(ROOT.parent)}: {match.group()}'
+        for path in sorted(outside)
         for match in WIRE_NAMES.finditer(path.read_text('utf-8'))
     ]
 
