--- a/citronjunction/gateway/admitting.py
+++ b/citronjunction/gateway/admitting.py
@@ -6,6 +6,21 @@
 OVER_QUOTA = 429  # HTTP status
 
 
+def admit(
+    services: context.Services,
+    request: models.CallerRequest,
+    fingerprint: int,
+    organisation: models.Organisation | None,
+) -> float | verdicts.NotRun:
+    """Return what a request costs of the quota, or why it is refused."""
+    refusal = check_suspect(services, fingerprint)
+    if refusal is not None:
+        return refusal
+    if organisation is None:
+        return 0
+    return charge(services, organisation, request.prompt)
+
+
 def check_suspect(
     services: context.Services,
     fingerprint: int,
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -98,20 +98,13 @@
             max(0, self.deadline_at - now),
             self._on_deadline,
         )
-        refusal = admitting.check_suspect(services, self.fingerprint)
-        if refusal is not None:
-            self._finish(refusal)
+        charged = admitting.admit(
+            services, self.request, self.fingerprint, self.organisation
+        )
+        if isinstance(charged, verdicts.NotRun):
+            self._finish(charged)
             return
-        if self.organisation is not None:
-            charged = admitting.charge(
-                services,
-                self.organisation,
-                self.request.prompt,
-            )
-            if isinstance(charged, verdicts.NotRun):
-                self._finish(charged)
-                return
-            self.cost = charged
+        self.cost = charged
         self.upstream = assigning.draw_upstream(self.route, services.random)
         self.is_trial = services.rollouts.draws_trial(self.upstream, now)
         services.get_budget(self.upstream).record_request(now)
@@ -355,6 +348,8 @@
         if self.attempt is not source:
             return
         self.attempt = None
+        if source.answer is not None and not source.answer.is_framed:
+            recording.record_unframed_answer(self, source, is_good=is_good)
         self._release_prompt(source)
         source.worker.running -= 1
         if is_good is not None:
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -246,9 +246,10 @@
     ``is_refused`` means that the worker states that it did not run the
     request, ``is_misdirected`` that another worker has the address now, and
     ``is_authentic`` that the answer comes from a worker. ``length`` is None for
-    a chunked body. ``fields`` are relayed to the caller. ``is_leaving`` means
+    a body without one. ``fields`` are relayed to the caller. ``is_leaving`` means
     that the worker will end, ``retry_after_s`` is the time for which it asks
-    for no further requests.
+    for no further requests. ``is_framed`` is false if only the end of the
+    connection ends the body.
     """
 
     status: int
@@ -259,6 +260,7 @@
     is_authentic: bool
     is_leaving: bool = False
     retry_after_s: float | None = None
+    is_framed: bool = True
 
     @property
     def is_success(self) -> bool:
--- a/citronjunction/gateway/recording.py
+++ b/citronjunction/gateway/recording.py
@@ -5,7 +5,7 @@
 from citronjunction.gateway import counting, evidence
 
 if TYPE_CHECKING:
-    from citronjunction.gateway import flow
+    from citronjunction.gateway import attempt, flow
 
 MS_PER_S = 1000
 
@@ -23,6 +23,24 @@
     )
 
 
+def record_unframed_answer(
+    flow: 'flow.Flow',
+    source: 'attempt.Attempt',
+    *,
+    is_good: bool | None,
+) -> None:
+    """Log an answer that only the end of its connection could end."""
+    flow.services.log.write(
+        'unframed answer',
+        flow.request.name,
+        worker=source.worker.registration.name,
+        status=source.answer.status,
+        is_good=is_good,
+        last_event=source.reader.last_id,
+        incomplete_bytes=len(source.reader.remainder),
+    )
+
+
 def record_end(
     flow: 'flow.Flow',
     outcome: str,
--- a/citronjunction/platform/upstream_calls.py
+++ b/citronjunction/platform/upstream_calls.py
@@ -66,6 +66,7 @@
         ),
         is_leaving=headers.get(names.LEAVING.lower(), '').strip() == IS_LEAVING,
         retry_after_s=_read_retry_after(head),
+        is_framed=head.is_framed,
     )
 
 
