End a stream that breaks off inside an event as a failure

Cause: for an answer with neither a length nor chunks the end of the connection is the end of the answer. Attempt.on_end then passed on what was left of an event and ended the caller's chunked answer in the regular way. The class of fault: the end of the input inside a unit is taken for the end of the whole.

Now such an end is a failure that may have run: a resumable stream goes on at another worker, an answer that has begun is cut, one that has not is a 502. It counts against the worker's health, and the request is examined like one that lost its connection. Events may also end with CRLF, so that a stream of that kind is not mistaken for an unfinished event.

--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -150,21 +150,23 @@
         if self.is_over:
             return
         self.is_over = True
-        if self.is_started:
-            if self.reader.remainder:
-                self.owner.on_part(self, self.reader.remainder)
-            self.owner.on_complete(self)
-            return
         answer = self.answer
-        if answer.is_refused:
+        if self._is_broken_off():
+            self._report_failure(
+                evidence.Evidence.may_have_run,
+                'the stream ended inside an event',
+                'broken_off',
+            )
+        elif self.is_started:
+            self.owner.on_complete(self)
+        elif answer.is_refused:
             self._report_refusal()
         elif answer.status in NOT_RUN_STATUSES or not answer.is_authentic:
             # Without a refusal by the worker the request may have run.
             failed = evidence.describe_status(answer.status)
             self.owner.on_failed(self, failed)
         else:
-            body = bytes(self.buffer) + self.reader.remainder
-            self.owner.on_buffered_answer(self, answer, body)
+            self.owner.on_buffered_answer(self, answer, bytes(self.buffer))
 
     def on_failure(self, failure: verdicts.Failure) -> None:
         """Report a failed connection."""
@@ -208,6 +210,13 @@
         elif complete_events:
             self._start(complete_events)
 
+    def _is_broken_off(self) -> bool:
+        if not (self.is_stream and self.answer.is_success):
+            return False
+        # A worker that crashes may end an unframed stream like a whole one.
+        is_empty = not (self.is_started or self.answer.is_framed)
+        return is_empty or self.reader.is_inside_event
+
     def _is_stalled(self) -> bool:
         if self.reader.has_new_id:
             self.drips_since = None
--- a/citronjunction/gateway/events.py
+++ b/citronjunction/gateway/events.py
@@ -2,7 +2,7 @@
 
 import re
 
-END_OF_EVENT = b'\n\n'
+EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
 EVENT_ID = re.compile(rb'^id: ?([^\r\n]*)', re.MULTILINE)
 MAX_EVENT_BYTES = 1 << 20  # buffer limit for an incomplete event
 
@@ -25,6 +25,11 @@
         self.last_id = ''
         self.has_new_id = False
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun and not ended."""
+        return bool(self.remainder.strip())
+
     def feed(self, chunk: bytes) -> bytes:
         """Buffer bytes and return the events that they complete.
 
@@ -32,15 +37,14 @@
         """
         buffered = self.remainder + chunk
         self.has_new_id = False
-        end = buffered.rfind(END_OF_EVENT)
-        if end < 0:
+        cut = _find_end_of_events(buffered)
+        if not cut:
             if len(buffered) > MAX_EVENT_BYTES:
                 raise EventTooLarge(
                     f'a stream event exceeds {MAX_EVENT_BYTES} bytes'
                 )
             self.remainder = buffered
             return b''
-        cut = end + len(END_OF_EVENT)
         events = buffered[:cut]
         self.remainder = buffered[cut:]
         ids = EVENT_ID.findall(events)
@@ -48,3 +52,9 @@
         if ids:
             self.last_id = ids[-1].decode('latin-1').strip()
         return events
+
+
+def _find_end_of_events(buffered: bytes) -> int:
+    """Return the length of the complete events, 0 if there are none."""
+    ends = ((buffered.rfind(mark), len(mark)) for mark in EVENT_ENDS)
+    return max((at + length for at, length in ends if at >= 0), default=0)
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -20,6 +20,8 @@
 
 RETRY_AFTER_S = 0.3  # a full worker usually frees a slot by then
 GATEWAY_TIMEOUT = 504  # HTTP status
+# Codes of failures that a crash of the worker may have caused.
+CRASH_CODES = frozenset(('connection_lost', 'broken_off'))
 
 
 class Flow:
@@ -180,7 +182,7 @@
             self._name_route(source),
             failed,
         )
-        if failed.code == 'connection_lost':
+        if failed.code in CRASH_CODES:
             self.services.on_suspect_request(self.fingerprint, source.worker)
         if failed.evidence is evidence.Evidence.may_have_run:
             self._count_run()
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -29,6 +29,18 @@
     assert reader.remainder == b''
 
 
+@pytest.mark.parametrize('end', [b'\n\n', b'\r\n\r\n'])
+def test_an_event_that_has_begun_is_told_from_the_end_of_one(end):
+    reader = events.EventReader()
+
+    assert reader.feed(b'id: 1' + end) == b'id: 1' + end
+    assert not reader.is_inside_event
+    assert not reader.feed(end[: len(end) // 2])
+    assert not reader.is_inside_event
+    reader.feed(b'id: 2')
+    assert reader.is_inside_event
+
+
 def test_an_event_without_end_is_rejected_at_the_size_limit():
     reader = events.EventReader()
 
