--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -71,9 +71,7 @@
             route.is_idempotent, route.max_workers
         )
         self.fingerprint = suspects.compute_fingerprint(
-            request.key,
-            request.path,
-            request.body,
+            request.key, request.path, request.body
         )
         self.attempt: attempt.Attempt | None = None
         self.tried: list[fleet.Worker] = []
@@ -97,8 +95,7 @@
         services.flows.add(self)
         self.response.exchange.on_disconnect = self._on_caller_gone
         self.deadline_timer = services.timers.call_later(
-            max(0, self.deadline_at - now),
-            self._on_deadline,
+            max(0, self.deadline_at - now), self._on_deadline
         )
         charged = admitting.admit(
             services, self.request, self.fingerprint, self.organisation
@@ -146,8 +143,12 @@
     def on_complete(self, source: attempt.Attempt) -> None:
         """Finish an answer that was relayed in parts."""
         self._close_attempt(source, is_good=True)
-        self.response.finish()
-        self._close('answered', source.answer.status)
+        if (
+            self.relocation is None
+            or source.answer.is_framed
+            or not self.relocation.on_unframed_end(source)
+        ):
+            self.finish_stream(source)
 
     def on_buffered_answer(
         self,
@@ -200,6 +201,11 @@
             now = self.services.timers.now()
             self._send(choosing.Candidate(worker, 0, 0, 0), now, kv_source)
 
+    def finish_stream(self, source: attempt.Attempt) -> None:
+        """Finish an answer whose end has been received."""
+        self.response.finish()
+        self._close('answered', source.answer.status)
+
     def fail_stream(self, failed: evidence.AttemptFailure) -> None:
         """Fail a stream that cannot be resumed."""
         self.history.record(failed)
@@ -267,9 +273,7 @@
         if self.request.prompt is not None:
             new_attempt.pending_prefill_tokens = candidate.prefill_tokens
             new_attempt.prefill_tokens = candidate.prefill_tokens
-            worker.prefill_tokens[self.urgency] += (
-                new_attempt.pending_prefill_tokens
-            )
+            worker.prefill_tokens[self.urgency] += candidate.prefill_tokens
         call = self.services.codec.encode_call(
             self.request,
             assigning.build_assignment(
@@ -342,10 +346,7 @@
         self.cancel('caller_gone')
 
     def _close_attempt(
-        self,
-        source: attempt.Attempt,
-        *,
-        is_good: bool | None,
+        self, source: attempt.Attempt, *, is_good: bool | None
     ) -> None:
         if self.attempt is not source:
             return
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -14,7 +14,7 @@
 from citronjunction.gateway import context, evidence, fleet, models
 
 if TYPE_CHECKING:
-    from citronjunction.gateway import flow
+    from citronjunction.gateway import attempt, flow
 
 # Time before a worker's end at which its streams are stopped. A copy takes 50
 # to 100 ms, the copies of a worker run one after another, and the worker's
@@ -40,9 +40,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class NotMoved:
-    """Result: nothing was copied."""
+    """Result: nothing was copied.
+
+    ``has_ended`` means that the source states that no such run exists.
+    """
 
     reason: str
+    has_ended: bool = False
 
 
 MoveResult = Union[Moved, Kept, NotMoved]
@@ -80,7 +84,8 @@
     """Move one stream from a worker to another.
 
     The stream is resumed once the run's KV cache was copied and the connection
-    to the source has broken.
+    to the source has broken. ``unframed_end`` is the attempt whose answer ended
+    with its connection meanwhile.
     """
 
     __slots__ = (
@@ -91,6 +96,7 @@
         'result',
         'source',
         'target',
+        'unframed_end',
     )
 
     def __init__(
@@ -107,6 +113,7 @@
         self.phase = Phase.running
         self.result: MoveResult | None = None
         self.is_broken = False
+        self.unframed_end: 'attempt.Attempt | None' = None
 
     def stop(self) -> None:
         """Stop the run at the source and copy its KV cache."""
@@ -126,6 +133,14 @@
         self._resume()
         return True
 
+    def on_unframed_end(self, source: 'attempt.Attempt') -> bool:
+        """Handle the end of a stream that only its connection ended.
+
+        Return whether this move may have stopped it.
+        """
+        self.unframed_end = source
+        return self.on_stream_broken()
+
     def _on_stopped(self, result: MoveResult) -> None:
         self.result = result
         if isinstance(result, NotMoved) and not self.is_broken:
@@ -152,6 +167,8 @@
                 self.flow.resume_at(self.target, f'{source}/{handle}')
             case Kept(handle=handle):
                 self.flow.resume_at(self.source, f'{source}/{handle}')
+            case NotMoved(has_ended=True) if self.unframed_end is not None:
+                self.flow.finish_stream(self.unframed_end)
             case NotMoved(reason=reason):
                 self.flow.fail_stream(
                     evidence.AttemptFailure(
--- a/citronjunction/platform/kv_cache_moves.py
+++ b/citronjunction/platform/kv_cache_moves.py
@@ -13,6 +13,7 @@
 REPORT_TIMEOUT_S = 0.5  # a report is already some hundred ms old
 MOVE_TIMEOUT_S = 1.5  # a copy queues behind others on the same network link
 OK = 200
+NOT_FOUND = 404
 UNAVAILABLE = 503
 JSON_HEADERS = {'Content-Type': 'application/json'}
 
@@ -90,4 +91,4 @@
         return relocation.Moved(handle)
     if reply.status == UNAVAILABLE and handle:
         return relocation.Kept(handle)
-    return relocation.NotMoved(reason)
+    return relocation.NotMoved(reason, has_ended=reply.status == NOT_FOUND)
--- a/tests/gateway/test_relocation.py
+++ b/tests/gateway/test_relocation.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.support import platform_system
+from tests.support import platform_system, scripted
 
 MOVING = {
     'name': 'llm',
@@ -125,3 +125,89 @@
 
     assert answer.is_complete
     assert not deployed.workers[source].moves
+
+
+class UnframedSource:
+    """Send a stream without length or chunks; a move closes it after an event.
+
+    Without ``has_run`` the run ends by itself just before the move.
+    """
+
+    def __init__(self, deployed, name, *, has_run):
+        self.deployed = deployed
+        self.has_run = has_run
+        self.stream = None
+        self.number = 0
+        spec = deployed.store.objects[('servers', name)]['spec']
+        host = deployed.worker_hosts[name]
+        self.timers = host.timers
+        self.leaves_at = None
+        scripted.ScriptedServer(host, spec['addr'], self.answer)
+
+    def answer(self, connection, request):
+        if b'/api/report' in request:
+            left_ms = (self.leaves_at - self.deployed.world.now) * 1000
+            connection.send(respond(200, b'{"leaves_ms": %d}' % left_ms))
+        elif b'/api/kv-move' in request:
+            self.stream.close_later(0)
+            status, body = (200, b'{"handle": "h"}')
+            if not self.has_run:
+                status, body = (404, b'{}')
+            connection.send_later(0.05, respond(status, body))
+        else:
+            self.stream = connection
+            connection.send(UNFRAMED_HEAD % get_name(request))
+            self.push()
+
+    def push(self):
+        if not self.stream.connection.is_closed:
+            self.number += 1
+            self.stream.send(
+                b'id: %d\ndata: t%d\n\n' % (self.number, self.number)
+            )
+            self.timers.call_later(0.1, self.push)
+
+
+UNFRAMED_HEAD = (
+    b'HTTP/1.1 200 OK\r\nSignature: s\r\nAttempt-Id: %b\r\n'
+    b'Content-Type: text/event-stream\r\n\r\n'
+)
+
+
+def get_name(request):
+    return scripted.get_header(request, 'Attempt-Id')
+
+
+def respond(status, body):
+    return b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b' % (
+        status,
+        len(body),
+        body,
+    )
+
+
+def move_unframed_stream(deployed, *, has_run):
+    source = UnframedSource(deployed, 'llm-0', has_run=has_run)
+    answer = None
+    while source.stream is None:
+        answer = deployed.send('/stream/x', method='POST', deadline_ms=15000)
+        deployed.world.run(0.3)
+    source.leaves_at = deployed.world.now + 1.2
+    deployed.set_state('llm-0', 'draining')
+    deployed.world.run(6)
+    return answer, source
+
+
+def test_an_unframed_stream_that_a_move_stops_is_not_complete(deployed):
+    answer, _ = move_unframed_stream(deployed, has_run=True)
+
+    assert answer.is_complete
+    assert numbers(answer) == list(range(1, EVENTS + 1))
+
+
+def test_an_unframed_stream_that_ends_as_it_is_moved_is_complete(deployed):
+    answer, source = move_unframed_stream(deployed, has_run=False)
+
+    assert answer.is_complete
+    assert numbers(answer) == list(range(1, source.number + 1))
+    assert not deployed.workers['llm-1'].runs
