--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -12,7 +12,8 @@
 
     ``*_left`` count the next requests that are refused, fail or lose their
     connection; a refusal carries ``retry_after`` if set. ``cut_after_events`` aborts a stream in the middle of the event
-    after that number. While ``is_silent``, requests run without an answer.
+    after that number. While ``is_silent``, requests run without an answer. The
+    process ends as it begins to answer a prompt with ``deadly_part``.
     """
 
     service_time_s: float = 0.02
@@ -28,6 +29,7 @@
     extra_answers: int = 0
     is_leaving: bool = False
     retry_after: str = ''
+    deadly_part: str = ''
 
 
 class PlatformWorker:
@@ -163,6 +165,10 @@
             exchange.finish()
             return
         exchange.push(b'id: %d\ndata: t%d\n\n' % (number, number))
+        parts = exchange.request.headers.get('prefix-hash', '')
+        if behaviour.deadly_part and behaviour.deadly_part in parts:
+            self.host.kill()
+            return
         self.host.timers.call_later(
             behaviour.event_interval_s, lambda: self._push(exchange, number + 1)
         )
