--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -102,3 +102,41 @@
 
     trial = restarted.services.rollouts.trials['app']
     assert trial.withdrawal_reason
+
+
+def remove_new_workers(system):
+    for name in ('new-0', 'new-1'):
+        system.store.remove('servers', name)
+        system.worker_hosts[name].kill()
+
+
+def test_a_version_without_workers_is_not_completed(deployed):
+    remove_new_workers(deployed)
+    roll_out(deployed, 30)
+
+    assert get_status(deployed) == {'state': 'in_progress', 'target': 'v2'}
+    before = count(deployed, ('app-0', 'app-1'))
+    ask(deployed, 10)
+    assert count(deployed, ('app-0', 'app-1')) == before + 10
+
+
+def test_a_version_that_loses_its_workers_is_not_completed(deployed):
+    roll_out(deployed, 8)
+    remove_new_workers(deployed)
+    for _ in range(150):
+        ask(deployed, 4)
+
+    assert get_status(deployed) == {'state': 'in_progress', 'target': 'v2'}
+
+
+def test_a_version_whose_workers_start_late_is_tried_first(deployed):
+    remove_new_workers(deployed)
+    roll_out(deployed, 16)
+    deployed.add_worker('new-2', 'app', version='v2')
+    deployed.add_worker('new-3', 'app', version='v2')
+    before = count(deployed, deployed.workers)
+    for _ in range(30):
+        ask(deployed, 4)
+
+    new = count(deployed, ('new-2', 'new-3'))
+    assert 1 <= new <= 0.15 * (count(deployed, deployed.workers) - before)
