Keep the workers of a rollout out of the scaling orders

Now usual capacity is what usual requests may go to. While a rollout is open the workers on trial are added to each order, and only orders that add workers go out, once no further one has registered for 1 s. test_workers_of_a_new_version_are_not_ordered_away failed before.

--- a/citronjunction/duties/autoscaling.py
+++ b/citronjunction/duties/autoscaling.py
@@ -67,18 +67,23 @@
         scaler = self.scalers.setdefault(name, scaling.Scaler(name))
         state = scaling.UpstreamState(
             limits,
-            self._count_workers(name),
+            self._count_workers(name, is_stable=True),
             self._measure_demand(name, now),
+            self._count_workers(name, is_stable=False),
+            is_rollout_open=self.services.rollouts.is_open(name),
         )
         for order in scaler.decide(state, now):
             self._send(scaler, order, get_fence, now)
 
     def _count_workers(
-        self,
-        upstream: str,
+        self, upstream: str, *, is_stable: bool
     ) -> dict[tuple[str, bool], scaling.WorkerCount]:
+        """Count the workers that usual requests may, or may not, go to."""
         counted: dict[tuple[str, bool], scaling.WorkerCount] = {}
+        allows = self.services.rollouts.allows
         for worker in self.services.fleet.select(upstream):
+            if allows(worker, is_trial=False) is not is_stable:
+                continue
             key = (worker.registration.zone, worker.registration.is_reclaimable)
             previous = counted.get(key, scaling.WorkerCount())
             is_gone = worker.is_draining or worker.is_absent
--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -40,17 +40,32 @@
 
     The keys of ``workers`` are a data centre and whether the workers are
     reclaimable. ``tokens_per_s`` are the prompt tokens that callers send at
-    present, None until measured.
+    present, None until measured. ``other_workers`` are those of a version that
+    does not take usual requests. While ``is_rollout_open``, they are on trial,
+    and the platform counts them in the orders.
     """
 
     scaling: gateway.Scaling
     workers: abc.Mapping[tuple[str, bool], WorkerCount]
     tokens_per_s: float | None
+    other_workers: abc.Mapping[tuple[str, bool], WorkerCount] = (
+        dataclasses.field(default_factory=dict)
+    )
+    is_rollout_open: bool = False
+
+    def count_on_trial(self, key: tuple[str, bool]) -> int:
+        """Return the workers on trial, which orders must not remove."""
+        if not self.is_rollout_open:
+            return 0
+        return self.other_workers.get(key, WorkerCount()).ready
 
 
 @dataclasses.dataclass(slots=True)
 class SentOrder:
-    """Count of a sent order and when it was sent, in monotonic seconds."""
+    """Count of a sent order and when it was sent, in monotonic seconds.
+
+    ``count`` leaves out the workers on trial.
+    """
 
     count: int
     at: float
@@ -62,16 +77,19 @@
     __slots__ = (
         'assumed_need',
         'demand_since',
+        'is_rollout_open',
         'largest_total',
         'last_growth_at',
         'name',
         'need',
         'need_at',
+        'on_trial',
         'peak',
         'peak_at',
         'refused_until',
         'sent',
         'started_at',
+        'trial_changed_at',
     )
 
     def __init__(self, name: str) -> None:
@@ -87,6 +105,9 @@
         self.started_at: float | None = None
         self.need = 0
         self.need_at: float = 0
+        self.is_rollout_open = False
+        self.on_trial: dict[tuple[str, bool], int] = {}
+        self.trial_changed_at: float = 0
 
     def decide(
         self,
@@ -95,18 +116,22 @@
     ) -> list[models.WorkerOrder]:
         """Return the orders that are due."""
         self._record_demand(state, now)
+        self._record_trial(state, now)
         if not self._is_settled(state, now):
             return []
         return [
-            models.WorkerOrder(self.name, zone, is_reclaimable, count)
-            for (zone, is_reclaimable), count in self._plan(state, now).items()
-            if self._is_due(state, (zone, is_reclaimable), count, now)
+            models.WorkerOrder(
+                self.name, *key, count + state.count_on_trial(key)
+            )
+            for key, count in self._plan(state, now).items()
+            if self._is_due(state, key, count, now)
         ]
 
     def record_sent(self, order: models.WorkerOrder, now: float) -> None:
         """Record that an order was sent."""
         key = (order.zone, order.is_reclaimable)
-        self.sent[key] = SentOrder(order.count, now)
+        on_trial = self.on_trial.get(key, 0)
+        self.sent[key] = SentOrder(order.count - on_trial, now)
 
     def record_result(
         self,
@@ -122,6 +147,16 @@
             case models.CallResult.unavailable:
                 self.sent.pop((order.zone, order.is_reclaimable), None)
 
+    def _record_trial(self, state: UpstreamState, now: float) -> None:
+        on_trial = {
+            key: state.count_on_trial(key) for key in state.other_workers
+        }
+        is_begun = state.is_rollout_open and not self.is_rollout_open
+        if is_begun or on_trial != self.on_trial:
+            self.trial_changed_at = now
+        self.is_rollout_open = state.is_rollout_open
+        self.on_trial = on_trial
+
     def _is_settled(self, state: UpstreamState, now: float) -> bool:
         """Return whether all workers that run at the start are known.
 
@@ -261,12 +296,22 @@
             return False
         current = _count(state, zone, is_reclaimable=is_reclaimable)
         sent = self.sent.get(key)
+        if state.is_rollout_open and not self._may_grow(current, count, now):
+            return False
         if sent is None:
             return current != count
         if sent.count != count:
             return True
         return current != count and now - sent.at > ORDER_RETRY_S
 
+    def _may_grow(self, current: int, count: int, now: float) -> bool:
+        """Return whether an order during a rollout removes no worker.
+
+        The workers on trial register over some seconds; an order that counts
+        too few of them stops the others.
+        """
+        return count > current and now - self.trial_changed_at >= SETTLE_S
+
 
 def _estimate_start_need(state: UpstreamState) -> int:
     """Estimate the workers for a usual load from those that run."""
--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -101,6 +101,11 @@
         self._get_comparison(rollout.upstream).reset()
         return True
 
+    def is_open(self, upstream: str) -> bool:
+        """Return whether a rollout of an upstream is under way."""
+        trial = self.trials.get(upstream)
+        return trial is not None and trial.is_open
+
     def draws_trial(self, upstream: str, now: float) -> bool:
         """Return at random whether a request goes to the version on trial."""
         trial = self.trials.get(upstream)
