Begin a rollout's trial with the first worker of its version

A version without workers was completed untried, and workers that started late got 30 % or all of the requests at once.

Now the trial begins when a worker of the version is ready, and anew if all are lost; it is shortened to end in time, to half of the rollout's duration at least. Without a worker the rollout stays in progress.

--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -16,6 +16,7 @@
 # Fraction of the rollout's duration at which it is reported as complete; the
 # rest leaves time to repeat a lost write.
 COMPLETE_AT = 0.93
+MIN_TRIAL = 0.5  # shortest trial, as a fraction of the rollout's duration
 # Time after a restore of the store in which an order that was already carried
 # out may be written again.
 RESTORED_ORDERS_S = 5.0
@@ -28,7 +29,8 @@
 class Trial:
     """Store the progress of a rollout.
 
-    ``seen_at`` is when it was first seen, in monotonic seconds,
+    ``seen_at`` is when it was first seen and ``begun_at`` when a worker of the
+    version was first ready, None without one, both in monotonic seconds,
     ``withdrawal_reason`` is empty unless the version was withdrawn, and
     ``sequence`` and ``reported_measure`` belong to the last evidence
     that was published to peers. ``is_unrecorded`` means that the store has lost
@@ -39,6 +41,7 @@
     rollout: models.Rollout
     seen_at: float
     detector: evidence.FaultDetector
+    begun_at: float | None = None
     withdrawal_reason: str = ''
     sequence: int = 0
     reported_measure: float = 0
@@ -50,6 +53,28 @@
         """Return the number that identifies the rollout to peers."""
         return xxhash.xxh32_intdigest(self.rollout.target.encode())
 
+    def record_workers(self, *, has_ready: bool, now: float) -> None:
+        """Record whether a worker of the version is ready.
+
+        A trial that loses its workers begins anew.
+        """
+        if not has_ready:
+            self.begun_at = None
+        elif self.begun_at is None:
+            self.begun_at = now
+
+    def get_progress(self, now: float) -> float:
+        """Return the fraction of the trial that is over.
+
+        A trial that begins late is shortened to end in time, but not by more
+        than ``MIN_TRIAL`` allows.
+        """
+        if self.begun_at is None:
+            return 0
+        duration_s = max(1, self.rollout.duration_s)
+        left_s = self.seen_at + duration_s - self.begun_at
+        return (now - self.begun_at) / max(MIN_TRIAL * duration_s, left_s)
+
     @property
     def is_open(self) -> bool:
         """Return whether the rollout is neither complete nor reverted."""
@@ -176,7 +201,7 @@
         due_state = models.RolloutState.in_progress
         if trial.withdrawal_reason:
             due_state = models.RolloutState.reverted
-        elif _get_progress(trial, now) >= COMPLETE_AT:
+        elif trial.get_progress(now) >= COMPLETE_AT:
             due_state = models.RolloutState.complete
         return None if due_state is trial.rollout.state else due_state
 
@@ -192,12 +217,8 @@
         return comparison
 
 
-def _get_progress(trial: Trial, now: float) -> float:
-    return (now - trial.seen_at) / max(1, trial.rollout.duration_s)
-
-
 def _get_share(trial: Trial, now: float) -> float:
-    progress = _get_progress(trial, now)
+    progress = trial.get_progress(now)
     for until, share in TRIAL_SHARES:
         if progress < until:
             return share
--- a/citronjunction/gateway/trials.py
+++ b/citronjunction/gateway/trials.py
@@ -31,6 +31,7 @@
         """Publish and assess the evidence about each version on trial."""
         for upstream, trial in self.services.rollouts.trials.items():
             if trial.is_open and not trial.withdrawal_reason:
+                self._record_workers(upstream, trial)
                 self._apply_known_withdrawal(upstream, trial)
                 self._report(upstream, trial)
                 self._assess(upstream, trial)
@@ -49,6 +50,16 @@
                 reason=fact.reason,
             )
 
+    def _record_workers(self, upstream: str, trial: rollouts.Trial) -> None:
+        has_ready = any(
+            worker.registration.version == trial.rollout.target
+            and not worker.is_draining
+            for worker in self.services.fleet.select(upstream)
+        )
+        trial.record_workers(
+            has_ready=has_ready, now=self.services.timers.now()
+        )
+
     def _apply_known_withdrawal(
         self, upstream: str, trial: rollouts.Trial
     ) -> None:
