Compare the pace of a trial's streams over all routes

Cause: only the time to the first event was measured, by route and size of the prompt, and compared once an entry had 20 samples of the old version for each: at seven entries that took longer than the trial, and one route's evidence alone is too little. Class of fault: evidence split so finely that no part suffices.

Now the mean time between the first events (the latency where there is no stream) counts as slow if it is over 2.5 times the route's median at the entry, known after 5 samples, and these counts are tested together over all routes.

--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -30,6 +30,9 @@
     def on_part(self, source: 'Attempt', part: bytes) -> None:
         """Relay a part of the answer."""
 
+    def on_paced(self, source: 'Attempt', pace_s: float) -> None:
+        """Evaluate the mean time between the first events."""
+
     def on_complete(self, source: 'Attempt') -> None:
         """Finish an answer that was relayed in parts."""
 
@@ -68,6 +71,7 @@
         'is_started',
         'is_stream',
         'owner',
+        'pace',
         'pending_prefill_tokens',
         'prefill_tokens',
         'reader',
@@ -98,6 +102,7 @@
         self.answer: models.AnswerHead | None = None
         self.buffer = bytearray()
         self.reader = events.EventReader()
+        self.pace = events.PaceMeter()
         self.sent_at = clock.now()
         self.first_byte_at: float | None = None
         self.pending_prefill_tokens = 0
@@ -205,10 +210,16 @@
                 f'bytes without a new event for {self.stall_s} s',
                 'stalled',
             )
-        elif complete_events and self.is_started:
-            self.owner.on_part(self, complete_events)
         elif complete_events:
+            self._relay(complete_events)
+
+    def _relay(self, complete_events: bytes) -> None:
+        if self.is_started:
+            self.owner.on_part(self, complete_events)
+        else:
             self._start(complete_events)
+        if self.pace.record(self.reader.id_count, self.clock.now()):
+            self.owner.on_paced(self, self.pace.pace_s)
 
     def _is_broken_off(self) -> bool:
         if not (self.is_stream and self.answer.is_success):
--- a/citronjunction/gateway/context.py
+++ b/citronjunction/gateway/context.py
@@ -70,6 +70,14 @@
         """Return the number of entries that divide a retry budget."""
         return self.serving_count or self.quotas.count_entries()
 
+    def record_offered(
+        self, upstream: str, prompt: models.Prompt | None, now: float
+    ) -> None:
+        """Count a caller's request to an upstream and its prompt tokens."""
+        self.get_budget(upstream).record_request(now)
+        tokens = prompt.prompt_tokens if prompt else 1
+        self.offered[upstream] = self.offered.get(upstream, 0) + tokens
+
     def get_budget(self, upstream: str) -> budgets.RetryBudget:
         """Return the retry budget of an upstream, creating it if needed."""
         budget = self.retry_budgets.get(upstream)
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -103,10 +103,7 @@
         self.cost = charged
         self.upstream = assigning.draw_upstream(self.route, services.random)
         self.is_trial = services.rollouts.draws_trial(self.upstream, now)
-        services.get_budget(self.upstream).record_request(now)
-        tokens = self.request.prompt.prompt_tokens if self.request.prompt else 1
-        offered = services.offered
-        offered[self.upstream] = offered.get(self.upstream, 0) + tokens
+        services.record_offered(self.upstream, self.request.prompt, now)
         self._try_worker()
 
     def on_head(
@@ -137,6 +134,12 @@
             self.last_event = source.reader.last_id
         self.response.push(part)
 
+    def on_paced(self, source: attempt.Attempt, pace_s: float) -> None:
+        """Record the pace of a stream as evidence about its version."""
+        self.services.rollouts.record_typical(
+            source.worker, self.route.name, pace_s
+        )
+
     def on_complete(self, source: attempt.Attempt) -> None:
         """Finish an answer that was relayed in parts."""
         self._close_attempt(source, is_good=True)
@@ -174,12 +177,7 @@
         self._close_attempt(source, is_good=None)
         if self.relocation is not None and self.relocation.on_stream_broken():
             return
-        outcomes.record_failure(
-            self.services,
-            source.worker,
-            self._name_route(source),
-            failed,
-        )
+        outcomes.record_failure(self.services, self.route, source, failed)
         if failed.code in CRASH_CODES:
             self.services.on_suspect_request(self.traits, source)
         if failed.evidence is evidence.Evidence.may_have_run:
@@ -355,20 +353,12 @@
         self._release_prompt(source)
         source.worker.running -= 1
         if is_good is not None:
-            now = self.services.timers.now()
             outcomes.record_answer(
-                self.services,
-                source.worker,
-                self._name_route(source),
-                is_good=is_good,
-                latency_s=(source.first_byte_at or now) - source.sent_at,
+                self.services, self.route, source, is_good=is_good
             )
         if is_good:
             outcomes.clear_suspects(self.services, self.traits, source.answer)
 
-    def _name_route(self, source: attempt.Attempt) -> str:
-        return outcomes.name_route(self.route, source.prefill_tokens)
-
     def _release_prompt(self, source: attempt.Attempt) -> None:
         source.worker.prefill_tokens[self.urgency] -= (
             source.pending_prefill_tokens
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -3,7 +3,13 @@
 from collections import abc
 
 from citronjunction.attempts import suspects
-from citronjunction.gateway import context, evidence, fleet, models
+from citronjunction.gateway import (
+    attempt,
+    context,
+    evidence,
+    fleet,
+    models,
+)
 
 # Prompt tokens to prefill; latencies are compared only within a size class.
 PREFILL_SIZE_BOUNDS = (512, 4096)
@@ -35,19 +41,23 @@
 
 def record_answer(
     services: context.Services,
-    worker: fleet.Worker,
-    route: str,
+    route: models.Route,
+    source: attempt.Attempt,
     *,
     is_good: bool,
-    latency_s: float,
 ) -> None:
     """Record an answer of a worker; eject the worker if it fails too often."""
+    worker = source.worker
+    now = services.timers.now()
+    latency_s = (source.first_byte_at or now) - source.sent_at
     services.rollouts.record(
         worker,
-        route,
+        name_route(route, source.prefill_tokens),
         is_good=is_good,
         latency_s=latency_s,
     )
+    if is_good and not route.is_prompt:
+        services.rollouts.record_typical(worker, route.name, latency_s)
     if is_good:
         worker.health.record_success(services.timers.now())
     elif worker.health.record_failure(services.timers.now()):
@@ -70,8 +80,8 @@
 
 def record_failure(
     services: context.Services,
-    worker: fleet.Worker,
-    route: str,
+    route: models.Route,
+    source: attempt.Attempt,
     failed: evidence.AttemptFailure,
 ) -> None:
     """Record a failed attempt and draw the conclusions for the worker.
@@ -79,6 +89,7 @@
     An unreachable worker is ejected at once, another one if it fails too often.
     A worker whose address belongs to another one now is removed.
     """
+    worker = source.worker
     now = services.timers.now()
     match failed.evidence:
         case evidence.Evidence.not_sent:
@@ -86,7 +97,8 @@
             services.client.drop_idle(worker.registration.address)
             _log_ejection(services, worker, failed.reason)
         case evidence.Evidence.may_have_run:
-            services.rollouts.record(worker, route, is_good=False, latency_s=0)
+            name = name_route(route, source.prefill_tokens)
+            services.rollouts.record(worker, name, is_good=False, latency_s=0)
             if worker.health.record_failure(now):
                 _log_ejection(services, worker, failed.reason)
         case evidence.Evidence.refused if failed.code == 'misdirected':
--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -73,7 +73,8 @@
             return 0
         duration_s = max(1, self.rollout.duration_s)
         left_s = self.seen_at + duration_s - self.begun_at
-        return (now - self.begun_at) / max(MIN_TRIAL * duration_s, left_s)
+        passed_s = now - self.begun_at
+        return passed_s / max(MIN_TRIAL * duration_s, left_s)
 
     @property
     def is_open(self) -> bool:
@@ -161,23 +162,44 @@
         latency_s: float,
     ) -> None:
         """Record an answer as evidence about the version of its worker."""
-        upstream = worker.registration.upstream
+        self._record(
+            worker,
+            evidence.Outcome(
+                route,
+                worker.registration.name,
+                not is_good,
+                latency_s,
+            ),
+        )
+
+    def record_typical(
+        self, worker: fleet.Worker, route: str, seconds: float
+    ) -> None:
+        """Record a time that varies little on its route as evidence.
+
+        It is the time between events of a stream or the latency of an answer.
+        """
         outcome = evidence.Outcome(
             route,
             worker.registration.name,
-            not is_good,
-            latency_s,
+            has_failed=False,
+            typical_s=seconds,
+            is_final=False,
         )
+        self._record(worker, outcome)
+
+    def _record(self, worker: fleet.Worker, outcome: evidence.Outcome) -> None:
+        upstream = worker.registration.upstream
         trial = self.trials.get(upstream)
         comparison = self._get_comparison(upstream)
-        if (
+        is_target = (
             trial is not None
             and worker.registration.version == trial.rollout.target
-        ):
-            if trial.is_open:
-                comparison.record_candidate(outcome)
-        else:
+        )
+        if not is_target:
             comparison.record_stable(outcome)
+        elif trial.is_open:
+            comparison.record_candidate(outcome)
 
     def withdraw(self, upstream: str, version: str, reason: str) -> bool:
         """Withdraw a version from trial; return whether that is new."""
--- a/citronjunction/releases/evidence.py
+++ b/citronjunction/releases/evidence.py
@@ -11,9 +11,11 @@
 import math
 from collections import abc
 
-# Rates of bad samples that a healthy version may have, by metric.
+TYPICAL_TIME = 'typical time'
+ALL_ROUTES = 'all routes'  # as the route of pooled evidence
+# Rates of bad samples that a healthy version may have, by metric. For other
+# metrics they are measured.
 NULL_RATES: abc.Mapping[str, float] = {
-    'failure': 0.05,
     'latency': 0.25,
     'pace': 0.25,
     'first stall': 0.05,
@@ -25,23 +27,44 @@
     'pace': (0.5, 1.5, 2.8),
     'first stall': (2.0, 6.0, 18.0),
     'pace stall': (2.0, 6.0, 18.0),
+    TYPICAL_TIME: (2.0, 6.0, 18.0),
 }
 STALL_METRICS: abc.Mapping[str, str] = {
     'latency': 'first stall',
     'pace': 'pace stall',
 }
 STALL_TOLERANCE = 2.0  # multiple of the slowest baseline sample
-BASELINE_QUANTILE = 0.9
 MAX_BASELINE_SAMPLES = 200
-MIN_BASELINE_SAMPLES = 20  # with fewer, latencies are not compared
-LATENCY_TOLERANCE = 1.3  # multiple of the baseline quantile
-FAILURE_TOLERANCE = 2.0  # multiple of the baseline failure rate
+RATE_TOLERANCE = 2.0  # multiple of the baseline's rate of bad samples
+MIN_NULL_RATE = 0.05
+# Samples, and bad ones among them, that are assumed before any are known.
+PRIOR_FAILURES = (20, 0.5)
+PRIOR_SLOW = (20, 2.0)
 MAX_NULL_RATE = 0.5
 MAX_BET_FRACTION = 0.95  # of the largest bet that keeps values positive
 HORIZON_REQUESTS = 2000  # requests that the false alarm rate covers
 MIN_SECOND_WORKER_EVIDENCE = 2.0  # log evidence
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Limit:
+    """A multiple of a quantile of the baseline, above which a time is bad.
+
+    With fewer samples than ``min_samples`` times are not compared.
+    """
+
+    quantile: float
+    tolerance: float
+    min_samples: int
+
+
+LIMITS: abc.Mapping[str, Limit] = {
+    'latency': Limit(0.9, 1.3, 20),
+    'pace': Limit(0.9, 1.3, 20),
+    TYPICAL_TIME: Limit(0.5, 2.5, 5),
+}
+
+
 @dataclasses.dataclass(slots=True)
 class Bets:
     """Logarithm of the value of each bet, and the number of samples."""
@@ -78,8 +101,9 @@
     """Result of an attempt.
 
     ``latency_s`` is the time to the answer or its first token, ``pace_s`` the
-    time per token; 0 means not measured. An outcome that is not final only
-    reports latencies of an attempt that is still running.
+    time per token, ``typical_s`` a time that varies little on the route, which
+    is compared over all routes; 0 means not measured. An outcome that is not
+    final only reports times of an attempt that is still running.
     """
 
     route: str
@@ -88,18 +112,31 @@
     latency_s: float = 0
     pace_s: float = 0
     is_final: bool = True
+    typical_s: float = 0
+
+    def list_times(self) -> abc.Iterator[tuple[str, float]]:
+        """Yield the metrics and seconds that were measured."""
+        if not self.has_failed:
+            yield from (
+                (metric, seconds)
+                for metric, seconds in (
+                    ('latency', self.latency_s),
+                    ('pace', self.pace_s),
+                )
+                if seconds
+            )
 
 
 class Baseline:
-    """Recent latencies and the failure rate of the stable version."""
+    """Recent times and the rate of bad samples of the stable version."""
 
-    __slots__ = ('failures', 'recent_s', 'samples', 'sorted_s')
+    __slots__ = ('bad_samples', 'recent_s', 'samples', 'sorted_s')
 
     def __init__(self) -> None:
         self.recent_s: collections.deque[float] = collections.deque()
         self.sorted_s: list[float] = []
         self.samples = 0
-        self.failures = 0
+        self.bad_samples = 0
 
     def add_latency(self, seconds: float) -> None:
         """Record a latency; drop the oldest one over the limit."""
@@ -109,29 +146,28 @@
             oldest = self.recent_s.popleft()
             self.sorted_s.pop(bisect.bisect_left(self.sorted_s, oldest))
 
-    def add_outcome(self, has_failed: bool) -> None:
-        """Record whether an attempt failed."""
+    def add_outcome(self, is_bad: bool) -> None:
+        """Record whether a sample was bad."""
         self.samples += 1
-        self.failures += int(has_failed)
+        self.bad_samples += int(is_bad)
 
-    def get_latency_limit(self) -> float | None:
-        """Return the latency above which a sample counts as bad, if known."""
-        if len(self.sorted_s) < MIN_BASELINE_SAMPLES:
+    def get_time_limit(self, metric: str) -> float | None:
+        """Return the time above which a sample counts as bad, if known."""
+        limit = LIMITS[metric]
+        if len(self.sorted_s) < limit.min_samples:
             return None
-        index = int(len(self.sorted_s) * BASELINE_QUANTILE)
-        return self.sorted_s[index] * LATENCY_TOLERANCE
+        index = int(len(self.sorted_s) * limit.quantile)
+        return self.sorted_s[index] * limit.tolerance
 
     def get_stall_limit(self) -> float:
         """Return the latency above which a sample counts as stalled."""
         return self.sorted_s[-1] * STALL_TOLERANCE
 
-    def get_failure_rate(self) -> float:
-        """Return the failure rate that a healthy version may have."""
-        rate = (self.failures + 0.5) / (self.samples + 20)
-        return max(
-            NULL_RATES['failure'],
-            min(MAX_NULL_RATE, FAILURE_TOLERANCE * rate),
-        )
+    def get_null_rate(self, prior: tuple[float, float]) -> float:
+        """Return the rate of bad samples that a healthy version may have."""
+        samples, bad_samples = prior
+        rate = (self.bad_samples + bad_samples) / (self.samples + samples)
+        return max(MIN_NULL_RATE, min(MAX_NULL_RATE, RATE_TOLERANCE * rate))
 
 
 class Comparison:
@@ -149,25 +185,31 @@
             self._get_baseline(outcome.route, 'failure').add_outcome(
                 outcome.has_failed,
             )
-        if outcome.has_failed:
-            return
-        if outcome.latency_s:
-            baseline = self._get_baseline(outcome.route, 'latency')
-            baseline.add_latency(outcome.latency_s)
-        if outcome.pace_s:
-            baseline = self._get_baseline(outcome.route, 'pace')
-            baseline.add_latency(outcome.pace_s)
+        for metric, seconds in outcome.list_times():
+            self._get_baseline(outcome.route, metric).add_latency(seconds)
+        if outcome.typical_s:
+            is_slow = self._is_slow(outcome)
+            if is_slow is not None:
+                self._get_baseline(ALL_ROUTES, TYPICAL_TIME).add_outcome(
+                    is_slow
+                )
+            baseline = self._get_baseline(outcome.route, TYPICAL_TIME)
+            baseline.add_latency(outcome.typical_s)
 
     def record_candidate(self, outcome: Outcome) -> None:
         """Test an outcome of the candidate against the baseline."""
         baseline = self._get_baseline(outcome.route, 'failure')
         if outcome.is_final:
-            rate = baseline.get_failure_rate()
+            rate = baseline.get_null_rate(PRIOR_FAILURES)
             self._bet(outcome, 'failure', outcome.has_failed, rate)
-        if outcome.has_failed:
-            return
-        self._compare(outcome, 'latency', outcome.latency_s)
-        self._compare(outcome, 'pace', outcome.pace_s)
+        for metric, seconds in outcome.list_times():
+            self._compare(outcome, metric, seconds)
+        is_slow = self._is_slow(outcome) if outcome.typical_s else None
+        if is_slow is not None:
+            pooled = dataclasses.replace(outcome, route=ALL_ROUTES)
+            rates = self._get_baseline(ALL_ROUTES, TYPICAL_TIME)
+            rate = rates.get_null_rate(PRIOR_SLOW)
+            self._bet(pooled, TYPICAL_TIME, is_slow, rate)
 
     def get_rows(self) -> tuple[Row, ...]:
         """Return the values of all tests."""
@@ -180,10 +222,16 @@
         """Discard the tests of the candidate; keep the baseline."""
         self.tests.clear()
 
+    def _is_slow(self, outcome: Outcome) -> bool | None:
+        """Return whether the typical time is over the limit, if it is known."""
+        baseline = self._get_baseline(outcome.route, TYPICAL_TIME)
+        limit = baseline.get_time_limit(TYPICAL_TIME)
+        return None if limit is None else outcome.typical_s > limit
+
     def _compare(self, outcome: Outcome, metric: str, seconds: float) -> None:
         baseline = self._get_baseline(outcome.route, metric)
-        limit = baseline.get_latency_limit()
-        if limit is None or not seconds:
+        limit = baseline.get_time_limit(metric)
+        if limit is None:
             return
         self._bet(outcome, metric, seconds > limit, NULL_RATES[metric])
         stall = STALL_METRICS[metric]
