Hold a trial's share while its version is in doubt

While the evidence of the strongest test is at half the threshold or more, the progress of the trial stands still: no larger share, no completion. It falls within a few good answers if it was chance. test_doubt_stops_the_progress_of_a_trial guards it.

--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -31,6 +31,8 @@
 
     ``seen_at`` is when it was first seen and ``begun_at`` when a worker of the
     version was first ready, None without one, both in monotonic seconds,
+    ``doubted_s`` is how long the evidence has been in doubt since then, up to
+    ``doubted_at``,
     ``withdrawal_reason`` is empty unless the version was withdrawn, and
     ``sequence`` and ``reported_measure`` belong to the last evidence
     that was published to peers. ``is_unrecorded`` means that the store has lost
@@ -42,6 +44,8 @@
     seen_at: float
     detector: evidence.FaultDetector
     begun_at: float | None = None
+    doubted_at: float | None = None
+    doubted_s: float = 0
     withdrawal_reason: str = ''
     sequence: int = 0
     reported_measure: float = 0
@@ -62,6 +66,13 @@
             self.begun_at = None
         elif self.begun_at is None:
             self.begun_at = now
+            self.doubted_s = 0
+
+    def record_doubt(self, *, is_doubtful: bool, now: float) -> None:
+        """Record whether the evidence is in doubt, which stops the progress."""
+        if self.doubted_at is not None:
+            self.doubted_s += now - self.doubted_at
+        self.doubted_at = now if is_doubtful else None
 
     def get_progress(self, now: float) -> float:
         """Return the fraction of the trial that is over.
@@ -73,7 +84,7 @@
             return 0
         duration_s = max(1, self.rollout.duration_s)
         left_s = self.seen_at + duration_s - self.begun_at
-        passed_s = now - self.begun_at
+        passed_s = now - self.begun_at - self.doubted_s
         return passed_s / max(MIN_TRIAL * duration_s, left_s)
 
     @property
--- a/citronjunction/gateway/trials.py
+++ b/citronjunction/gateway/trials.py
@@ -103,6 +103,10 @@
             trial.release,
         )
         assessment = trial.detector.assess(rows)
+        trial.record_doubt(
+            is_doubtful=assessment.is_doubtful,
+            now=self.services.timers.now(),
+        )
         if assessment.is_bad:
             self.peers.publish(
                 facts.WithdrawnVersion(
--- a/citronjunction/releases/evidence.py
+++ b/citronjunction/releases/evidence.py
@@ -43,6 +43,7 @@
 MAX_NULL_RATE = 0.5
 MAX_BET_FRACTION = 0.95  # of the largest bet that keeps values positive
 HORIZON_REQUESTS = 2000  # requests that the false alarm rate covers
+DOUBT = 0.5  # fraction of the threshold
 MIN_SECOND_WORKER_EVIDENCE = 2.0  # log evidence
 
 
@@ -258,12 +259,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Assessment:
-    """Result of testing a version with the evidence of all entries."""
+    """Result of testing a version with the evidence of all entries.
+
+    ``is_doubtful`` means that the evidence is half of what a fault needs.
+    """
 
     is_bad: bool = False
     samples: int = 0
     log_evidence: float = 0
     reason: str = ''
+    is_doubtful: bool = False
 
 
 class FaultDetector:
@@ -331,7 +336,8 @@
             f'after {samples} requests on {len(sorted_evidence)} workers'
         )
         is_bad = is_shared and value >= threshold
-        return Assessment(is_bad, samples, value, reason)
+        is_doubtful = value >= threshold * DOUBT
+        return Assessment(is_bad, samples, value, reason, is_doubtful)
 
     def _update_log_evidence(
         self,
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from citronjunction.gateway import models, rollouts
+from citronjunction.releases import evidence
 from tests.support import platform_system
 
 ROLLOUT = {'service': 'app', 'target': 'v2', 'durationS': 20}
@@ -140,3 +142,14 @@
 
     new = count(deployed, ('new-2', 'new-3'))
     assert 1 <= new <= 0.15 * (count(deployed, deployed.workers) - before)
+
+
+def test_doubt_stops_the_progress_of_a_trial():
+    rollout = models.Rollout('app', 'v2', 20, 1, None)
+    trial = rollouts.Trial(rollout, 0, evidence.FaultDetector(0.01))
+    trial.record_workers(has_ready=True, now=0)
+    for at in range(5, 10):
+        trial.record_doubt(is_doubtful=True, now=at)
+    trial.record_doubt(is_doubtful=False, now=10)
+
+    assert trial.get_progress(12) * 20 == pytest.approx(7)
