Find the part that crashes workers behind one that was refused first

A refused part explains the crashes under another one only if it has as many, and is released when the cause, with more crashes, is found. test_the_cause_is_found_although_another_part_was_refused_first failed before.

--- a/citronjunction/attempts/suspect_parts.py
+++ b/citronjunction/attempts/suspect_parts.py
@@ -83,7 +83,9 @@
             self.refusals.pop(part, None)
             return False
         if part not in self.crashes and len(self.crashes) >= MAX_PARTS:
-            self.crashes.pop(next(iter(self.crashes)))
+            oldest = next(iter(self.crashes))
+            self.crashes.pop(oldest)
+            self.refusals.pop(oldest, None)
         self.crashes[part] = crashes
         refusal = self._get_refusal(part, now)
         if refusal is None:
@@ -91,6 +93,7 @@
                 return False
             until = now + self.settings.suspect_s
             self.refusals[part] = Refusal(until, _get_lost_at(crashes[-1]))
+            self._release_explained(part)
             return True
         if now >= refusal.until:
             if not self._count_crashes(part, refusal.counted_until):
@@ -140,18 +143,29 @@
         self.crashes.pop(part, None)
         return None
 
+    def _release_explained(self, part: int) -> None:
+        """Release parts whose crashes are a part of those under this one."""
+        workers = self._get_workers(part)
+        for other in tuple(self.refusals):
+            if self._get_workers(other) < workers:
+                self.refusals.pop(other)
+
+    def _get_workers(self, part: int) -> set[str]:
+        return {worker for worker, _, _ in self.crashes[part]}
+
     def _count_crashes(self, part: int, counted_until: float) -> int:
         """Count the later crashes under a part that no other part explains.
 
-        A refused part explains the crashes under it. A crash counts only if
-        the prompt was sent after the one before: a power loss takes many
-        workers at once, whatever they run.
+        A refused part with as many crashes explains those under it. A crash
+        counts only if the prompt was sent after the one before: a power loss
+        takes many workers at once, whatever they run.
         """
         explained = {
             worker
             for other in self.refusals
             if other != part
-            for worker, _, _ in self.crashes.get(other, ())
+            and len(self.crashes[other]) >= len(self.crashes[part])
+            for worker in self._get_workers(other)
         }
         count = 0
         for worker, sent_at, lost_at in self.crashes[part]:
--- a/tests/attempts/test_suspect_parts.py
+++ b/tests/attempts/test_suspect_parts.py
@@ -126,3 +126,12 @@
     assert merge(merged, first, cleared_at) == merged
     assert merge(merge(first, (), cleared_at), second, cleared_at) == merged
     assert all(lost_at > cleared_at for _, _, lost_at in merged)
+
+
+def test_the_cause_is_found_although_another_part_was_refused_first(parts):
+    parts.update(OTHER, CRASHES, 0)
+    assert not parts.update(PART, CRASHES, 0)
+    assert parts.update(PART, (*CRASHES, crash(4, 40)), 1)
+
+    assert not admits(parts, 1)
+    assert admits(parts, 1, part=OTHER)
