Try new versions with 9 % of the requests

The evidence against a version grows with the requests that try it, not with time; with 6 % a slow version was tried by 10 to 16 requests in 9 s. A tenth may go to a bad version.

--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -12,7 +12,7 @@
 # Each pair is a fraction of the rollout's duration and the share of requests
 # until then. A bad version may get a tenth of the requests at most, so the
 # share is raised only after a long trial.
-TRIAL_SHARES = ((0.55, 0.06), (0.75, 0.3))
+TRIAL_SHARES = ((0.55, 0.09), (0.75, 0.3))
 # Fraction of the rollout's duration at which it is reported as complete; the
 # rest leaves time to repeat a lost write.
 COMPLETE_AT = 0.93
