Test the failures of a trial over all routes, too

The failures of all routes are tested together as well; routes keep their own test for faults of one kind of request. test_failures_of_many_routes_add_up failed before.

--- a/citronjunction/releases/evidence.py
+++ b/citronjunction/releases/evidence.py
@@ -183,9 +183,9 @@
     def record_stable(self, outcome: Outcome) -> None:
         """Add an outcome of the stable version to the baseline."""
         if outcome.is_final:
-            self._get_baseline(outcome.route, 'failure').add_outcome(
-                outcome.has_failed,
-            )
+            for route in (outcome.route, ALL_ROUTES):
+                baseline = self._get_baseline(route, 'failure')
+                baseline.add_outcome(outcome.has_failed)
         for metric, seconds in outcome.list_times():
             self._get_baseline(outcome.route, metric).add_latency(seconds)
         if outcome.typical_s:
@@ -199,10 +199,12 @@
 
     def record_candidate(self, outcome: Outcome) -> None:
         """Test an outcome of the candidate against the baseline."""
-        baseline = self._get_baseline(outcome.route, 'failure')
         if outcome.is_final:
-            rate = baseline.get_null_rate(PRIOR_FAILURES)
-            self._bet(outcome, 'failure', outcome.has_failed, rate)
+            pooled = dataclasses.replace(outcome, route=ALL_ROUTES)
+            for tested in (outcome, pooled):
+                baseline = self._get_baseline(tested.route, 'failure')
+                rate = baseline.get_null_rate(PRIOR_FAILURES)
+                self._bet(tested, 'failure', tested.has_failed, rate)
         for metric, seconds in outcome.list_times():
             self._compare(outcome, metric, seconds)
         is_slow = self._is_slow(outcome) if outcome.typical_s else None
@@ -303,7 +305,7 @@
         strongest = Assessment()
         for test, by_worker in tests.items():
             assessment = self._assess_test(test, by_worker, threshold)
-            if test[1] == 'failure':
+            if test == (ALL_ROUTES, 'failure'):
                 samples += assessment.samples
             if assessment.log_evidence > strongest.log_evidence:
                 strongest = assessment
--- a/tests/releases/test_evidence.py
+++ b/tests/releases/test_evidence.py
@@ -115,3 +115,21 @@
             break
     assert 'r4' in detector.assess(comparison.get_rows()).reason
     assert step < 60
+
+
+def test_failures_of_many_routes_add_up():
+    comparison = evidence.Comparison()
+    for number in range(200):
+        comparison.record_stable(
+            evidence.Outcome(f'route-{number % 8}', 'w0', False, 0.1)
+        )
+    for number in range(32):
+        comparison.record_candidate(
+            evidence.Outcome(
+                f'route-{number % 8}', f'w{number % 3}', number % 2 == 0, 0.1
+            )
+        )
+    assessment = evidence.FaultDetector(0.01).assess(comparison.get_rows())
+
+    assert assessment.is_bad
+    assert assessment.samples == 32
