--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -49,18 +49,11 @@
     """Record an answer of a worker; eject the worker if it fails too often."""
     worker = source.worker
     now = services.timers.now()
-    latency_s = (source.first_byte_at or now) - source.sent_at
-    services.rollouts.record(
-        worker,
-        name_route(route, source.prefill_tokens),
-        is_good=is_good,
-        latency_s=latency_s,
-    )
-    if is_good and not route.is_prompt:
-        services.rollouts.record_typical(worker, route.name, latency_s)
+    services.rollouts.record(worker, route.name, is_good=is_good)
     if is_good:
-        worker.health.record_success(services.timers.now())
-    elif worker.health.record_failure(services.timers.now()):
+        worker.health.record_success(now)
+        _record_latency(services, route, source, now)
+    elif worker.health.record_failure(now):
         _log_ejection(services, worker, 'errors')
 
 
@@ -97,8 +90,7 @@
             services.client.drop_idle(worker.registration.address)
             _log_ejection(services, worker, failed.reason)
         case evidence.Evidence.may_have_run:
-            name = name_route(route, source.prefill_tokens)
-            services.rollouts.record(worker, name, is_good=False, latency_s=0)
+            services.rollouts.record(worker, route.name, is_good=False)
             if worker.health.record_failure(now):
                 _log_ejection(services, worker, failed.reason)
         case evidence.Evidence.refused if failed.code == 'misdirected':
@@ -129,6 +121,20 @@
     return f'{route.name}#{size}' if route.is_prompt else route.name
 
 
+def _record_latency(
+    services: context.Services,
+    route: models.Route,
+    source: attempt.Attempt,
+    now: float,
+) -> None:
+    latency_s = (source.first_byte_at or now) - source.sent_at
+    services.rollouts.record_latency(
+        source.worker, name_route(route, source.prefill_tokens), latency_s
+    )
+    if not route.is_prompt:
+        services.rollouts.record_typical(source.worker, route.name, latency_s)
+
+
 def _log_ejection(
     services: context.Services,
     worker: fleet.Worker,
--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -165,23 +165,24 @@
                 return is_target is is_trial
 
     def record(
-        self,
-        worker: fleet.Worker,
-        route: str,
-        *,
-        is_good: bool,
-        latency_s: float,
+        self, worker: fleet.Worker, route: str, *, is_good: bool
     ) -> None:
         """Record an answer as evidence about the version of its worker."""
-        self._record(
-            worker,
-            evidence.Outcome(
-                route,
-                worker.registration.name,
-                not is_good,
-                latency_s,
-            ),
+        name = worker.registration.name
+        self._record(worker, evidence.Outcome(route, name, not is_good))
+
+    def record_latency(
+        self, worker: fleet.Worker, route: str, latency_s: float
+    ) -> None:
+        """Record the latency of a good answer as evidence."""
+        outcome = evidence.Outcome(
+            route,
+            worker.registration.name,
+            has_failed=False,
+            latency_s=latency_s,
+            is_final=False,
         )
+        self._record(worker, outcome)
 
     def record_typical(
         self, worker: fleet.Worker, route: str, seconds: float
