--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -57,22 +57,29 @@
         """Return the number that identifies the rollout to peers."""
         return xxhash.xxh32_intdigest(self.rollout.target.encode())
 
-    def record_workers(self, *, has_ready: bool, now: float) -> None:
+    def record_workers(self, *, has_ready: bool, now: float) -> bool:
         """Record whether a worker of the version is ready.
 
-        A trial that loses its workers begins anew.
+        A trial that loses its workers begins anew. Return whether it changed.
         """
+        was_begun = self.begun_at is not None
         if not has_ready:
             self.begun_at = None
         elif self.begun_at is None:
             self.begun_at = now
             self.doubted_s = 0
+        return was_begun is not has_ready
 
-    def record_doubt(self, *, is_doubtful: bool, now: float) -> None:
-        """Record whether the evidence is in doubt, which stops the progress."""
+    def record_doubt(self, *, is_doubtful: bool, now: float) -> bool:
+        """Record whether the evidence is in doubt, which stops the progress.
+
+        Return whether that changed.
+        """
+        was_doubtful = self.doubted_at is not None
         if self.doubted_at is not None:
             self.doubted_s += now - self.doubted_at
         self.doubted_at = now if is_doubtful else None
+        return was_doubtful is not is_doubtful
 
     def get_progress(self, now: float) -> float:
         """Return the fraction of the trial that is over.
--- a/citronjunction/gateway/trials.py
+++ b/citronjunction/gateway/trials.py
@@ -56,9 +56,14 @@
             and not worker.is_draining
             for worker in self.services.fleet.select(upstream)
         )
-        trial.record_workers(
-            has_ready=has_ready, now=self.services.timers.now()
-        )
+        now = self.services.timers.now()
+        if trial.record_workers(has_ready=has_ready, now=now):
+            self.services.log.write(
+                'trial',
+                upstream,
+                target=trial.rollout.target,
+                has_workers=has_ready,
+            )
 
     def _apply_known_withdrawal(
         self, upstream: str, trial: rollouts.Trial
@@ -103,10 +108,15 @@
             trial.release,
         )
         assessment = trial.detector.assess(rows)
-        trial.record_doubt(
-            is_doubtful=assessment.is_doubtful,
-            now=self.services.timers.now(),
-        )
+        is_doubtful = assessment.is_doubtful
+        now = self.services.timers.now()
+        if trial.record_doubt(is_doubtful=is_doubtful, now=now):
+            self.services.log.write(
+                'trial in doubt' if is_doubtful else 'trial goes on',
+                upstream,
+                target=target,
+                reason=assessment.reason,
+            )
         if assessment.is_bad:
             self.peers.publish(
                 facts.WithdrawnVersion(
