Keep the crashes under a part whose refusal has ended

Found by reading: a report that came after a refusal and its test period had ended removed the crashes that it was about to count, and raised a KeyError in the handler of the peer's message. test_a_crash_reported_long_after_... failed.

The crashes stay; one further crash then refuses the part again.

--- a/citronjunction/attempts/suspect_parts.py
+++ b/citronjunction/attempts/suspect_parts.py
@@ -140,7 +140,6 @@
             return refusal
         # Nobody has sent a request to test the part.
         self.refusals.pop(part)
-        self.crashes.pop(part, None)
         return None
 
     def _release_explained(self, part: int) -> None:
--- a/tests/attempts/test_suspect_parts.py
+++ b/tests/attempts/test_suspect_parts.py
@@ -135,3 +135,20 @@
 
     assert not admits(parts, 1)
     assert admits(parts, 1, part=OTHER)
+
+
+def test_a_crash_long_after_a_refusal_refuses_the_part_again(parts):
+    parts.update(PART, CRASHES, 0)
+    late = 5 * SUSPECT_S
+    assert admits(parts, late)
+
+    assert parts.update(PART, (*CRASHES, crash(4, 400)), late)
+    assert not admits(parts, late)
+
+
+def test_a_crash_reported_long_after_a_refusal_refuses_the_part_again(parts):
+    parts.update(PART, CRASHES, 0)
+    late = 5 * SUSPECT_S
+
+    assert parts.update(PART, (*CRASHES, crash(4, 400)), late)
+    assert not admits(parts, late)
