--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -136,8 +136,8 @@
 
     def on_paced(self, source: attempt.Attempt, pace_s: float) -> None:
         """Record the pace of a stream as evidence about its version."""
-        self.services.rollouts.record_typical(
-            source.worker, self.route.name, pace_s
+        self.services.rollouts.record_time(
+            source.worker, self.route.name, typical_s=pace_s
         )
 
     def on_complete(self, source: attempt.Attempt) -> None:
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -128,11 +128,11 @@
     now: float,
 ) -> None:
     latency_s = (source.first_byte_at or now) - source.sent_at
-    services.rollouts.record_latency(
-        source.worker, name_route(route, source.prefill_tokens), latency_s
-    )
+    record_time = services.rollouts.record_time
+    sized_route = name_route(route, source.prefill_tokens)
+    record_time(source.worker, sized_route, latency_s=latency_s)
     if not route.is_prompt:
-        services.rollouts.record_typical(source.worker, route.name, latency_s)
+        record_time(source.worker, route.name, typical_s=latency_s)
 
 
 def _log_ejection(
--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -178,32 +178,26 @@
         name = worker.registration.name
         self._record(worker, evidence.Outcome(route, name, not is_good))
 
-    def record_latency(
-        self, worker: fleet.Worker, route: str, latency_s: float
+    def record_time(
+        self,
+        worker: fleet.Worker,
+        route: str,
+        *,
+        latency_s: float = 0,
+        typical_s: float = 0,
     ) -> None:
-        """Record the latency of a good answer as evidence."""
-        outcome = evidence.Outcome(
-            route,
-            worker.registration.name,
-            has_failed=False,
-            latency_s=latency_s,
-            is_final=False,
-        )
-        self._record(worker, outcome)
+        """Record a time of a good answer as evidence.
 
-    def record_typical(
-        self, worker: fleet.Worker, route: str, seconds: float
-    ) -> None:
-        """Record a time that varies little on its route as evidence.
-
-        It is the time between events of a stream or the latency of an answer.
+        ``typical_s`` varies little on the route: it is the time between events
+        of a stream, or the latency of an answer that is none.
         """
         outcome = evidence.Outcome(
             route,
             worker.registration.name,
             has_failed=False,
-            typical_s=seconds,
+            latency_s=latency_s,
             is_final=False,
+            typical_s=typical_s,
         )
         self._record(worker, outcome)
 
