Do not take late states of peers for their clocks

Cause: entries that start together get each other's first state as a link opens, up to a second after it was made, and took the delay for a clock that is behind.

A delay only lowers the time that a state shows.

--- a/citronjunction/duties/clock.py
+++ b/citronjunction/duties/clock.py
@@ -1,10 +1,13 @@
 """Time of day that is unaffected by steps of the host's wall clock."""
 
+import collections
 import statistics
 
 from citronjunction.transport import timer_queue
 
 MAX_SKEW_S = 0.5  # above the usual skew between hosts, below a clock step
+MAX_STATES = 5  # latest states of a peer, of which the fastest counts
+MIN_STATES = 3  # of a peer, before it turns this clock back
 
 
 class SteadyClock:
@@ -18,7 +21,8 @@
     def __init__(self, timers: timer_queue.TimerQueue) -> None:
         self.timers = timers
         self.offset_s = timers.wall_time() - timers.boot_time()
-        self.peer_offsets_s: dict[str, float] = {}
+        # Offsets of each peer as its latest states show them.
+        self.peer_offsets_s: dict[str, collections.deque[float]] = {}
 
     def now(self) -> float:
         """Return the time of day in seconds since the Unix epoch."""
@@ -31,13 +35,28 @@
         ``MAX_SKEW_S`` from the median of the peers' and its own offsets is
         replaced by the median. Return whether that happened.
         """
-        self.peer_offsets_s[name] = sent_at - self.timers.boot_time()
-        if len(self.peer_offsets_s) < 2:
-            return False
-        median_s = statistics.median_low(
-            [*self.peer_offsets_s.values(), self.offset_s]
+        offsets_s = self.peer_offsets_s.setdefault(
+            name, collections.deque(maxlen=MAX_STATES)
         )
-        if abs(median_s - self.offset_s) <= MAX_SKEW_S:
+        offsets_s.append(sent_at - self.timers.boot_time())
+        # A state arrives late by an unknown time, which only lowers the offset.
+        ahead_s = self._get_median(1) - self.offset_s
+        behind_s = self.offset_s - self._get_median(MIN_STATES)
+        if max(ahead_s, behind_s) <= MAX_SKEW_S:
             return False
-        self.offset_s = median_s
+        self.offset_s += ahead_s if ahead_s > MAX_SKEW_S else -behind_s
         return True
+
+    def _get_median(self, min_states: int) -> float:
+        """Return the median of the own offset and of peers with enough states.
+
+        Return the own offset if there are fewer than two.
+        """
+        known_s = [
+            max(offsets_s)
+            for offsets_s in self.peer_offsets_s.values()
+            if len(offsets_s) >= min_states
+        ]
+        if len(known_s) < 2:
+            return self.offset_s
+        return statistics.median_low([*known_s, self.offset_s])
