--- a/citronjunction/duties/clock.py
+++ b/citronjunction/duties/clock.py
@@ -33,19 +33,21 @@
 
         With at least two peers known, an offset that is more than
         ``MAX_SKEW_S`` from the median of the peers' and its own offsets is
-        replaced by the median. Return whether that happened.
+        replaced by the median; a clock that is ahead only after ``MIN_STATES``
+        of each of these peers. Return whether that happened.
         """
         offsets_s = self.peer_offsets_s.setdefault(
             name, collections.deque(maxlen=MAX_STATES)
         )
         offsets_s.append(sent_at - self.timers.boot_time())
         # A state arrives late by an unknown time, which only lowers the offset.
-        ahead_s = self._get_median(1) - self.offset_s
-        behind_s = self.offset_s - self._get_median(MIN_STATES)
-        if max(ahead_s, behind_s) <= MAX_SKEW_S:
-            return False
-        self.offset_s += ahead_s if ahead_s > MAX_SKEW_S else -behind_s
-        return True
+        if self._get_median(1) - self.offset_s > MAX_SKEW_S:
+            self.offset_s = self._get_median(1)
+            return True
+        if self.offset_s - self._get_median(MIN_STATES) > MAX_SKEW_S:
+            self.offset_s = self._get_median(MIN_STATES)
+            return True
+        return False
 
     def _get_median(self, min_states: int) -> float:
         """Return the median of the own offset and of peers with enough states.
