Let orders remove workers again once a rollout is overdue without any

Found by reading: a rollout whose version never gets a worker stays in progress, and would have kept the fleet from shrinking for good. Orders are held while workers are on trial, or may come until the rollout's time is over. test_a_rollout_without_workers_holds_no_orders_after_its_deadline guards it.

--- a/citronjunction/duties/autoscaling.py
+++ b/citronjunction/duties/autoscaling.py
@@ -70,7 +70,7 @@
             self._count_workers(name, is_stable=True),
             self._measure_demand(name, now),
             self._count_workers(name, is_stable=False),
-            is_rollout_open=self.services.rollouts.is_open(name),
+            has_trial=self.services.rollouts.holds_workers(name, now),
         )
         for order in scaler.decide(state, now):
             self._send(scaler, order, get_fence, now)
--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -41,7 +41,7 @@
     The keys of ``workers`` are a data centre and whether the workers are
     reclaimable. ``tokens_per_s`` are the prompt tokens that callers send at
     present, None until measured. ``other_workers`` are those of a version that
-    does not take usual requests. While ``is_rollout_open``, they are on trial,
+    does not take usual requests. While ``has_trial``, they are on trial,
     and the platform counts them in the orders.
     """
 
@@ -51,11 +51,11 @@
     other_workers: abc.Mapping[tuple[str, bool], WorkerCount] = (
         dataclasses.field(default_factory=dict)
     )
-    is_rollout_open: bool = False
+    has_trial: bool = False
 
     def count_on_trial(self, key: tuple[str, bool]) -> int:
         """Return the workers on trial, which orders must not remove."""
-        if not self.is_rollout_open:
+        if not self.has_trial:
             return 0
         return self.other_workers.get(key, WorkerCount()).ready
 
@@ -77,7 +77,7 @@
     __slots__ = (
         'assumed_need',
         'demand_since',
-        'is_rollout_open',
+        'has_trial',
         'largest_total',
         'last_growth_at',
         'name',
@@ -105,7 +105,7 @@
         self.started_at: float | None = None
         self.need = 0
         self.need_at: float = 0
-        self.is_rollout_open = False
+        self.has_trial = False
         self.on_trial: dict[tuple[str, bool], int] = {}
         self.trial_changed_at: float = 0
 
@@ -151,10 +151,10 @@
         on_trial = {
             key: state.count_on_trial(key) for key in state.other_workers
         }
-        is_begun = state.is_rollout_open and not self.is_rollout_open
+        is_begun = state.has_trial and not self.has_trial
         if is_begun or on_trial != self.on_trial:
             self.trial_changed_at = now
-        self.is_rollout_open = state.is_rollout_open
+        self.has_trial = state.has_trial
         self.on_trial = on_trial
 
     def _is_settled(self, state: UpstreamState, now: float) -> bool:
@@ -296,7 +296,7 @@
             return False
         current = _count(state, zone, is_reclaimable=is_reclaimable)
         sent = self.sent.get(key)
-        if state.is_rollout_open and not self._may_grow(current, count, now):
+        if state.has_trial and not self._may_grow(current, count, now):
             return False
         if sent is None:
             return current != count
@@ -305,7 +305,7 @@
         return current != count and now - sent.at > ORDER_RETRY_S
 
     def _may_grow(self, current: int, count: int, now: float) -> bool:
-        """Return whether an order during a rollout removes no worker.
+        """Return whether an order during a trial removes no worker.
 
         The workers on trial register over some seconds; an order that counts
         too few of them stops the others.
--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -145,10 +145,13 @@
         self._get_comparison(rollout.upstream).reset()
         return True
 
-    def is_open(self, upstream: str) -> bool:
-        """Return whether a rollout of an upstream is under way."""
+    def holds_workers(self, upstream: str, now: float) -> bool:
+        """Return whether workers of an upstream are, or may come, on trial."""
         trial = self.trials.get(upstream)
-        return trial is not None and trial.is_open
+        if trial is None or not trial.is_open:
+            return False
+        is_due = now >= trial.seen_at + trial.rollout.duration_s
+        return trial.begun_at is not None or not is_due
 
     def draws_trial(self, upstream: str, now: float) -> bool:
         """Return at random whether a request goes to the version on trial."""
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -1,5 +1,7 @@
 """A good version's rollout completes; a bad one gets little and reverts."""
 
+import random
+
 import pytest
 
 from citronjunction.gateway import models, rollouts
@@ -153,3 +155,13 @@
     trial.record_doubt(is_doubtful=False, now=10)
 
     assert trial.get_progress(12) * 20 == pytest.approx(7)
+
+
+def test_a_rollout_without_workers_holds_no_orders_after_its_deadline():
+    tracked = rollouts.Rollouts(random.Random(1), 0.01)
+    tracked.update(models.Rollout('app', 'v2', 20, 1, None), 0)
+
+    assert tracked.holds_workers('app', 19)
+    assert not tracked.holds_workers('app', 21)
+    tracked.trials['app'].record_workers(has_ready=True, now=21)
+    assert tracked.holds_workers('app', 30)
