--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -41,8 +41,8 @@
     The keys of ``workers`` are a data centre and whether the workers are
     reclaimable. ``tokens_per_s`` are the prompt tokens that callers send at
     present, None until measured. ``other_workers`` are those of a version that
-    does not take usual requests. While ``has_trial``, they are on trial,
-    and the platform counts them in the orders.
+    does not take usual requests. While ``has_trial``, they are on trial, and the
+    platform counts them in the orders.
     """
 
     scaling: gateway.Scaling
--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -30,14 +30,14 @@
     """Store the progress of a rollout.
 
     ``seen_at`` is when it was first seen and ``begun_at`` when a worker of the
-    version was first ready, None without one, both in monotonic seconds,
-    ``doubted_s`` is how long the evidence has been in doubt since then, up to
-    ``doubted_at``,
-    ``withdrawal_reason`` is empty unless the version was withdrawn, and
-    ``sequence`` and ``reported_measure`` belong to the last evidence
-    that was published to peers. ``is_unrecorded`` means that the store has lost
-    the final state, ``was_running`` that other entries had begun the rollout
-    when it was first seen.
+    version was first ready, None without one, both in monotonic seconds.
+    ``doubted_s`` is how long the evidence was in doubt since then until
+    ``doubted_at``, which is None while it is not in doubt.
+    ``withdrawal_reason`` is empty unless the version was withdrawn.
+    ``sequence`` and ``reported_measure`` belong to the last evidence that was
+    published to peers. ``is_unrecorded`` means that the store has lost the
+    final state, ``was_running`` that other entries had begun the rollout when
+    it was first seen.
     """
 
     rollout: models.Rollout
