--- a/citronjunction/gateway/context.py
+++ b/citronjunction/gateway/context.py
@@ -29,8 +29,9 @@
     ``on_run`` gets the organisation of each request that may have run at a
     worker, ``on_suspect_request`` the traits and the lost attempt of a request
     whose connection was lost, ``on_parts_answered`` the shared parts of a
-    prompt that was answered completely, ``on_worker_draining`` a worker that begins to
-    drain, ``on_worker_leaving`` one whose answer says that it will end.
+    prompt that was answered completely, ``on_worker_draining`` a worker that
+    begins to drain, ``on_worker_leaving`` one whose answer says that it will
+    end.
     ``offered`` counts prompt tokens by upstream (1 for each request
     without a prompt) since the start, ``flows`` are the requests in progress.
     """
--- a/citronjunction/gateway/copying.py
+++ b/citronjunction/gateway/copying.py
@@ -1,7 +1,7 @@
 """Copies of stored objects that entries get from their peers.
 
 They replace the store while it is unavailable and for standby entries. A peer
-that has asked for a kind is told of its changes for a while.
+that has asked for a kind receives its changes for a while.
 """
 
 import dataclasses
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -99,7 +99,9 @@
             self.log,
             counting.Counts(self.name),
             self._count_run,
-            lambda *lost: self.peer_exchange.crash_reporter.check(*lost),
+            lambda traits, lost: self.peer_exchange.crash_reporter.check(
+                traits, lost
+            ),
             lambda parts: self.peer_exchange.crash_reporter.clear(parts),
             self._on_worker_draining,
             self._on_worker_leaving,
--- a/citronjunction/releases/evidence.py
+++ b/citronjunction/releases/evidence.py
@@ -184,8 +184,9 @@
         """Add an outcome of the stable version to the baseline."""
         if outcome.is_final:
             for route in (outcome.route, ALL_ROUTES):
-                baseline = self._get_baseline(route, 'failure')
-                baseline.add_outcome(outcome.has_failed)
+                self._get_baseline(route, 'failure').add_outcome(
+                    outcome.has_failed
+                )
         for metric, seconds in outcome.list_times():
             self._get_baseline(outcome.route, metric).add_latency(seconds)
         if outcome.typical_s:
@@ -200,19 +201,19 @@
     def record_candidate(self, outcome: Outcome) -> None:
         """Test an outcome of the candidate against the baseline."""
         if outcome.is_final:
-            pooled = dataclasses.replace(outcome, route=ALL_ROUTES)
-            for tested in (outcome, pooled):
-                baseline = self._get_baseline(tested.route, 'failure')
+            for route in (outcome.route, ALL_ROUTES):
+                baseline = self._get_baseline(route, 'failure')
                 rate = baseline.get_null_rate(PRIOR_FAILURES)
-                self._bet(tested, 'failure', tested.has_failed, rate)
+                key = (route, 'failure', outcome.worker)
+                self._bet(key, outcome.has_failed, rate)
         for metric, seconds in outcome.list_times():
             self._compare(outcome, metric, seconds)
         is_slow = self._is_slow(outcome) if outcome.typical_s else None
         if is_slow is not None:
-            pooled = dataclasses.replace(outcome, route=ALL_ROUTES)
-            rates = self._get_baseline(ALL_ROUTES, TYPICAL_TIME)
-            rate = rates.get_null_rate(PRIOR_SLOW)
-            self._bet(pooled, TYPICAL_TIME, is_slow, rate)
+            baseline = self._get_baseline(ALL_ROUTES, TYPICAL_TIME)
+            rate = baseline.get_null_rate(PRIOR_SLOW)
+            key = (ALL_ROUTES, TYPICAL_TIME, outcome.worker)
+            self._bet(key, is_slow, rate)
 
     def get_rows(self) -> tuple[Row, ...]:
         """Return the values of all tests."""
@@ -236,19 +237,18 @@
         limit = baseline.get_time_limit(metric)
         if limit is None:
             return
-        self._bet(outcome, metric, seconds > limit, NULL_RATES[metric])
+        key = (outcome.route, metric, outcome.worker)
+        self._bet(key, seconds > limit, NULL_RATES[metric])
         stall = STALL_METRICS[metric]
         is_stalled = seconds > baseline.get_stall_limit()
-        self._bet(outcome, stall, is_stalled, NULL_RATES[stall])
+        key = (outcome.route, stall, outcome.worker)
+        self._bet(key, is_stalled, NULL_RATES[stall])
 
     def _bet(
-        self,
-        outcome: Outcome,
-        metric: str,
-        is_bad: bool,
-        rate: float,
+        self, key: tuple[str, str, str], is_bad: bool, rate: float
     ) -> None:
-        key = (outcome.route, metric, outcome.worker)
+        """Add a sample to the test of a route, a metric and a worker."""
+        _, metric, _ = key
         bets = self.tests.get(key)
         if bets is None:
             bets = Bets((0,) * len(BET_SIZES[metric]))
--- a/tests/duties/test_rollout_scaling.py
+++ b/tests/duties/test_rollout_scaling.py
@@ -9,18 +9,9 @@
 from tests.support import platform_system
 
 ZONES = ('z1', 'z2')
-SCALED = {
-    'name': 'llm',
-    'healthPath': '/healthz',
-    'maxConns': 100,
-    'scaling': {
-        'min': 0,
-        'max': 6,
-        'bootS': 4,
-        'spotPrice': 0.15,
-        'zonePrices': {'z1': 1.0, 'z2': 0.8},
-    },
-}
+SCALED = platform_system.make_scaled_upstream(
+    {'z1': 1.0, 'z2': 0.8}, minimum=0, maximum=6
+)
 
 
 @pytest.fixture
--- a/tests/duties/test_store_restore.py
+++ b/tests/duties/test_store_restore.py
@@ -5,18 +5,7 @@
 from citronjunction.duties import usage
 from tests.support import platform_system
 
-SCALED = {
-    'name': 'llm',
-    'healthPath': '/healthz',
-    'maxConns': 100,
-    'scaling': {
-        'min': 1,
-        'max': 3,
-        'bootS': 4.0,
-        'spotPrice': 0.2,
-        'zonePrices': {'z1': 1.0},
-    },
-}
+SCALED = platform_system.make_scaled_upstream({'z1': 1.0})
 
 
 @pytest.fixture
--- a/tests/gateway/test_broken_off_streams.py
+++ b/tests/gateway/test_broken_off_streams.py
@@ -16,16 +16,6 @@
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
 
 
-def chunk(data):
-    return b'%x\r\n%b\r\n' % (len(data), data)
-
-
-def serve(deployed, name, script):
-    spec = deployed.store.objects[('servers', name)]['spec']
-    host = deployed.worker_hosts[name]
-    return scripted.ScriptedServer(host, spec['addr'], script)
-
-
 def start_answer(connection, request, fields=b''):
     name = scripted.get_header(request, 'Attempt-Id')
     connection.send(HEAD % name + fields + b'\r\n')
@@ -53,7 +43,7 @@
         connection.send(EVENT % (1, 1) + rest)
         connection.close_later(0.01)
 
-    serve(deployed, 'llm-0', break_off)
+    scripted.replace_worker(deployed, 'llm-0', break_off)
     answer = deployed.ask('/stream/x', method='POST')
 
     assert answer.body == EVENT % (1, 1)
@@ -63,10 +53,13 @@
 def test_a_chunked_stream_that_ends_inside_an_event_is_not_complete(deployed):
     def break_off(connection, request):
         start_answer(connection, request, CHUNKED)
-        connection.send(chunk(EVENT % (1, 1)) + chunk(b'id: 2\nda'))
+        connection.send(
+            scripted.encode_chunk(EVENT % (1, 1))
+            + scripted.encode_chunk(b'id: 2\nda')
+        )
         connection.send(b'0\r\n\r\n')
 
-    serve(deployed, 'llm-0', break_off)
+    scripted.replace_worker(deployed, 'llm-0', break_off)
     answer = deployed.ask('/stream/x', method='POST')
 
     assert answer.body == EVENT % (1, 1)
@@ -80,7 +73,7 @@
         connection.send(body)
         connection.close_later(0.01)
 
-    serve(deployed, 'llm-0', break_off)
+    scripted.replace_worker(deployed, 'llm-0', break_off)
     answer = deployed.ask('/stream/x', method='POST')
 
     assert answer.status == 502
@@ -89,7 +82,7 @@
 
 def test_a_resumable_stream_that_ends_inside_an_event_goes_on_elsewhere():
     deployed = platform_system.PlatformSystem().build(workers=2)
-    server = serve(deployed, 'llm-0', end_inside_an_event)
+    server = scripted.replace_worker(deployed, 'llm-0', end_inside_an_event)
     while not server.requests:
         answer = deployed.ask('/stream/r/x', method='POST')
 
@@ -104,7 +97,7 @@
         connection.send_later(0.01, EVENT % (2, 2))
         connection.close_later(0.02)
 
-    serve(deployed, 'llm-0', end)
+    scripted.replace_worker(deployed, 'llm-0', end)
     answer = deployed.ask('/stream/x', method='POST')
 
     assert answer.is_complete
@@ -112,7 +105,7 @@
 
 
 def test_a_worker_whose_streams_break_off_is_ejected(deployed):
-    serve(deployed, 'llm-0', end_inside_an_event)
+    scripted.replace_worker(deployed, 'llm-0', end_inside_an_event)
     for _ in range(3):
         deployed.ask('/stream/x', method='POST', run_s=0.1)
 
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -16,12 +16,6 @@
     return platform_system.PlatformSystem().build(workers=1)
 
 
-def serve(deployed, name, script):
-    spec = deployed.store.objects[('servers', name)]['spec']
-    host = deployed.worker_hosts[name]
-    return scripted.ScriptedServer(host, spec['addr'], script)
-
-
 def set_timeout(deployed, timeout_ms):
     deployed.configure(
         routes=[
@@ -50,10 +44,6 @@
     )
 
 
-def chunk(data):
-    return b'%x\r\n%b\r\n' % (len(data), data)
-
-
 @pytest.mark.parametrize('delay_s', [0.0, 0.01, 0.05, 0.4])
 @pytest.mark.parametrize('gap_s', [0.0, 0.02, 0.1, 0.6])
 def test_a_second_copy_of_an_answer_never_reaches_the_next_caller(
@@ -63,7 +53,7 @@
         connection.send_later(0.01, build_answer(request))
         connection.send_later(0.01 + delay_s, build_answer(request))
 
-    serve(deployed, 'app-0', answer_twice)
+    scripted.replace_worker(deployed, 'app-0', answer_twice)
     for _ in range(8):
         answer = deployed.ask('/unsafe/x', method='POST', run_s=0.03 + gap_s)
         if answer.status == 200:
@@ -77,7 +67,7 @@
         connection.send(build_answer(request, b'half', length=8))
         connection.close_later(0.01)
 
-    serve(deployed, 'app-0', break_off)
+    scripted.replace_worker(deployed, 'app-0', break_off)
     answer = deployed.ask(path, method='POST')
 
     assert answer.status == 502
@@ -85,10 +75,12 @@
 
 def test_half_a_stream_does_not_look_complete(deployed):
     def break_off(connection, request):
-        connection.send(start_stream(request) + chunk(EVENT % (1, 1)))
+        connection.send(
+            start_stream(request) + scripted.encode_chunk(EVENT % (1, 1))
+        )
         connection.close_later(0.01)
 
-    serve(deployed, 'llm-0', break_off)
+    scripted.replace_worker(deployed, 'llm-0', break_off)
     answer = deployed.ask('/stream/x', method='POST')
 
     assert EVENT % (1, 1) in answer.body
@@ -101,12 +93,16 @@
         for number in range(1, 5):
             event = EVENT % (number, number)
             # Each event comes in two parts, as packets may split it.
-            connection.send_later(1.7 * number, chunk(event[:5]))
-            connection.send_later(1.7 * number + 0.3, chunk(event[5:]))
+            connection.send_later(
+                1.7 * number, scripted.encode_chunk(event[:5])
+            )
+            connection.send_later(
+                1.7 * number + 0.3, scripted.encode_chunk(event[5:])
+            )
         connection.send_later(7.5, b'0\r\n\r\n')
 
     set_timeout(deployed, 9000)
-    serve(deployed, 'llm-0', send_slowly)
+    scripted.replace_worker(deployed, 'llm-0', send_slowly)
     answer = deployed.ask(
         '/stream/x', method='POST', deadline_ms=9000, run_s=8.5
     )
@@ -118,12 +114,14 @@
 @pytest.mark.parametrize('drip', [b'd', b': still here\n\n'])
 def test_a_stream_that_drips_without_an_event_ends(deployed, drip):
     def drip_on(connection, request):
-        connection.send(start_stream(request) + chunk(EVENT % (1, 1)))
+        connection.send(
+            start_stream(request) + scripted.encode_chunk(EVENT % (1, 1))
+        )
         for number in range(60):
-            connection.send_later(0.2 * number, chunk(drip))
+            connection.send_later(0.2 * number, scripted.encode_chunk(drip))
 
     set_timeout(deployed, 12000)
-    serve(deployed, 'llm-0', drip_on)
+    scripted.replace_worker(deployed, 'llm-0', drip_on)
     answer = deployed.ask(
         '/stream/x', method='POST', deadline_ms=12000, run_s=13
     )
@@ -137,11 +135,13 @@
     set_timeout(deployed, 12000)
 
     def drip_on(connection, request):
-        connection.send(start_stream(request) + chunk(EVENT % (1, 1)))
+        connection.send(
+            start_stream(request) + scripted.encode_chunk(EVENT % (1, 1))
+        )
         for number in range(60):
-            connection.send_later(0.2 * number, chunk(b'd'))
+            connection.send_later(0.2 * number, scripted.encode_chunk(b'd'))
 
-    server = serve(deployed, 'llm-0', drip_on)
+    server = scripted.replace_worker(deployed, 'llm-0', drip_on)
     while not server.requests:
         answer = deployed.ask(
             '/stream/r/x', method='POST', deadline_ms=12000, run_s=4
--- a/tests/gateway/test_relocation.py
+++ b/tests/gateway/test_relocation.py
@@ -138,11 +138,9 @@
         self.has_run = has_run
         self.stream = None
         self.number = 0
-        spec = deployed.store.objects[('servers', name)]['spec']
-        host = deployed.worker_hosts[name]
-        self.timers = host.timers
+        self.timers = deployed.worker_hosts[name].timers
         self.leaves_at = None
-        scripted.ScriptedServer(host, spec['addr'], self.answer)
+        scripted.replace_worker(deployed, name, self.answer)
 
     def answer(self, connection, request):
         if b'/api/report' in request:
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -60,6 +60,22 @@
     }
 
 
+def make_scaled_upstream(prices, minimum=1, maximum=3):
+    """Return the upstream of the streams with limits for its workers."""
+    return {
+        'name': 'llm',
+        'healthPath': '/healthz',
+        'maxConns': 100,
+        'scaling': {
+            'min': minimum,
+            'max': maximum,
+            'bootS': 4.0,
+            'spotPrice': 0.2,
+            'zonePrices': prices,
+        },
+    }
+
+
 def make_worker_spec(service, address, zone='z1', state='ready', version='v1'):
     """Return the registration of a worker."""
     return {
--- a/tests/support/scripted.py
+++ b/tests/support/scripted.py
@@ -44,6 +44,17 @@
         )
 
 
+def replace_worker(deployed, name, script):
+    """Serve the address of a worker with a script instead."""
+    spec = deployed.store.objects[('servers', name)]['spec']
+    return ScriptedServer(deployed.worker_hosts[name], spec['addr'], script)
+
+
+def encode_chunk(data):
+    """Encode a part of a body as a chunk."""
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
 def get_header(request, name):
     """Return a header of a request as it was received."""
     for line in request.split(b'\r\n'):
