Log the limit on requests that a worker's answers name

The answer's head is now decoded with its limit (Server-Limit), and a change of it at an entry is a line 'worker limit'. What the entry does with it is unchanged. Unusable values (negative, infinite, no number) count as none, with a warning.

--- a/citronjunction/gateway/crash_reporting.py
+++ b/citronjunction/gateway/crash_reporting.py
@@ -92,7 +92,7 @@
     def check(self, traits: suspects.Traits, lost: attempt.Attempt) -> None:
         """Check whether a worker that lost an attempt has crashed."""
         registration = lost.worker.registration
-        start = f'{registration.name}/{registration.started_at_ms}'
+        start = registration.start_key
         crash = self.crashes.get(start)
         if crash is None:
             crash = Crash(registration.name, self.clock.now())
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -254,7 +254,8 @@
     a body without one. ``fields`` are relayed to the caller. ``is_leaving`` means
     that the worker will end, ``retry_after_s`` is the time for which it asks
     for no further requests. ``is_framed`` is false if only the end of the
-    connection ends the body.
+    connection ends the body. ``limit_per_s`` is the number of requests a second
+    that the worker takes from all entries together, None if it states none.
     """
 
     status: int
@@ -266,6 +267,7 @@
     is_leaving: bool = False
     retry_after_s: float | None = None
     is_framed: bool = True
+    limit_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
@@ -299,6 +301,11 @@
     started_at_ms: int
     warmup_s: float
 
+    @property
+    def start_key(self) -> str:
+        """Return a key of this start of the worker."""
+        return f'{self.name}/{self.started_at_ms}'
+
 
 class RolloutState(enum.Enum):
     """State of a rollout."""
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -28,6 +28,14 @@
         )
         if leaving is not None:
             services.on_worker_leaving(leaving)
+    if answer.limit_per_s != worker.limit_per_s and not answer.is_misdirected:
+        worker.limit_per_s = answer.limit_per_s
+        services.log.write(
+            'worker limit',
+            registration.name,
+            upstream=registration.upstream,
+            per_s=answer.limit_per_s,
+        )
     if answer.retry_after_s is not None:
         until = services.timers.now() + answer.retry_after_s
         worker.paused_until = max(worker.paused_until, until)
--- a/citronjunction/platform/names.py
+++ b/citronjunction/platform/names.py
@@ -14,6 +14,7 @@
 NOT_RUN = 'Not-Executed'
 LEAVING = 'Server-Leaving'  # 1: the worker takes no new requests soon
 RETRY_AFTER = 'Retry-After'  # seconds
+LIMIT = 'Server-Limit'  # requests a second from all entries together
 KV_SOURCE = 'Kv-From'  # address of the source and handle of the KV cache
 HOLDER = 'Holder'
 FENCING_TOKEN = 'Fencing-Token'
--- a/citronjunction/platform/upstream_calls.py
+++ b/citronjunction/platform/upstream_calls.py
@@ -67,6 +67,7 @@
         is_leaving=headers.get(names.LEAVING.lower(), '').strip() == IS_LEAVING,
         retry_after_s=_read_retry_after(head),
         is_framed=head.is_framed,
+        limit_per_s=_read_limit(headers),
     )
 
 
@@ -93,6 +94,20 @@
     return min(seconds, MAX_RETRY_AFTER_S)
 
 
+def _read_limit(headers: abc.Mapping[str, str]) -> float | None:
+    text = headers.get(names.LIMIT.lower())
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = math.nan
+    if not 0 <= limit < math.inf:
+        logging.warning('worker sent an unusable Server-Limit: %.40r', text)
+        return None
+    return limit
+
+
 def _read_length(headers: abc.Mapping[str, str]) -> int | None:
     text = headers.get('content-length', '')
     return int(text) if text.isdecimal() else None
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -152,6 +152,28 @@
     assert answer.is_authentic is authentic
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit'),
+    [
+        ('1', 1.0),
+        (' 2.5 ', 2.5),
+        ('1e-1', 0.1),
+        ('0', 0.0),
+        ('', None),
+        ('-1', None),
+        ('nan', None),
+        ('inf', None),
+        ('two', None),
+    ],
+)
+def test_a_limit_on_requests_is_decoded_if_it_is_usable(text, limit):
+    headers = {'server-limit': text}
+
+    answer = upstream_calls.decode(http_client.Head(200, headers, []))
+
+    assert answer.limit_per_s == limit
+
+
 def test_hop_by_hop_headers_are_not_relayed():
     fields = [
         (b'Signature', b's'),
--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -11,8 +11,9 @@
     """Configure how a worker answers.
 
     ``*_left`` count the next requests that are refused, fail or lose their
-    connection; a refusal carries ``retry_after`` if set. ``cut_after_events`` aborts a stream in the middle of the event
-    after that number. While ``is_silent``, requests run without an answer. The
+    connection; a refusal carries ``retry_after`` if set. ``limit`` is the number
+    of requests a second that all answers name. ``cut_after_events`` aborts a
+    stream in the middle of the event after that number. While ``is_silent``, requests run without an answer. The
     process ends as it begins to answer a prompt with ``deadly_part``.
     """
 
@@ -29,6 +30,7 @@
     extra_answers: int = 0
     is_leaving: bool = False
     retry_after: str = ''
+    limit: str = ''
     deadly_part: str = ''
 
 
@@ -138,15 +140,19 @@
         return headers
 
     def _respond(self, exchange, status, headers, body):
+        exchange.respond(status, self._add_needs(headers), body)
+
+    def _add_needs(self, headers):
         if self.behaviour.is_leaving:
             headers['Server-Leaving'] = '1'
-        exchange.respond(status, headers, body)
+        if self.behaviour.limit:
+            headers['Server-Limit'] = self.behaviour.limit
+        return headers
 
     def _stream(self, exchange):
         headers = self._sign(exchange)
         headers['Content-Type'] = 'text/event-stream'
-        if self.behaviour.is_leaving:
-            headers['Server-Leaving'] = '1'
+        self._add_needs(headers)
         last = exchange.request.headers.get('last-event-id', '')
         self.streams[exchange.request.headers['attempt-id']] = exchange
         exchange.start_stream(200, headers)
