--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -37,8 +37,9 @@
 class PlatformWorker:
     """Run requests and record them.
 
-    ``arrivals`` are all requests of callers, ``runs`` those that were accepted
-    and ``cancelled`` those whose connection closed before the answer ended.
+    ``arrivals`` are all requests of callers, which came at ``arrived_at``,
+    ``runs`` those that were accepted and ``cancelled`` those whose connection
+    closed before the answer ended.
     """
 
     def __init__(self, host, name):
@@ -46,6 +47,7 @@
         self.name = name
         self.behaviour = Behaviour()
         self.arrivals = []
+        self.arrived_at = []
         self.runs = []
         self.cancelled = []
         self.streams = {}
@@ -68,6 +70,7 @@
             self._move(exchange)
             return
         self.arrivals.append(request)
+        self.arrived_at.append(self.host.timers.now())
         expected = request.headers.get('expect-instance', self.name)
         if expected != self.name:
             self._respond(exchange, 421, {'Instance': self.name}, b'')
