Keep the limits that workers name, by all entries together

Cause: nothing read the limit, and the fleet had no place to keep one. Class of fault: a bound that belongs to the whole fleet, kept by nobody.

A limit is now a fact that reaches all entries, also those that start later. Entries take turns at the tokens, so that requests which cross stay few, and pay back those that did.

--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -87,8 +87,7 @@
         available = [
             worker
             for worker in self.fleet.select(upstream)
-            if not worker.is_draining
-            and not worker.is_paused(now)
+            if self.fleet.admits(worker, now)
             and worker not in tried
             and allows(worker)
         ]
--- a/citronjunction/gateway/context.py
+++ b/citronjunction/gateway/context.py
@@ -31,7 +31,8 @@
     whose connection was lost, ``on_parts_answered`` the shared parts of a
     prompt that was answered completely, ``on_worker_draining`` a worker that
     begins to drain, ``on_worker_leaving`` one whose answer says that it will
-    end.
+    end, ``on_worker_answer`` each answer with its worker and the time at which
+    its request was sent.
     ``offered`` counts prompt tokens by upstream (1 for each request
     without a prompt) since the start, ``flows`` are the requests in progress.
     """
@@ -54,6 +55,9 @@
     on_parts_answered: abc.Callable[[abc.Sequence[int]], None]
     on_worker_draining: abc.Callable[[fleet.Worker], None]
     on_worker_leaving: abc.Callable[[fleet.Worker], None]
+    on_worker_answer: abc.Callable[
+        [fleet.Worker, models.AnswerHead, float], None
+    ]
     configuration: models.Configuration | None = None
     routes: matching.RouteTable = dataclasses.field(
         default_factory=lambda: matching.RouteTable(()),
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections import abc
 
-from citronjunction.gateway import health, models
+from citronjunction.gateway import health, limits, models
 
 # Time for which a worker is still used after its registration vanished; must
 # stay below the time within which a draining worker has to be out of use.
@@ -32,8 +32,7 @@
     ``peer_running`` and ``peer_prefill_tokens`` are the same for the other
     entries, as last reported. ``warming_until`` is in monotonic seconds, and so
     is ``paused_until``, before which the worker wants no request of this entry.
-    ``is_leaving`` means that its answers say that it will end. ``limit_per_s``
-    is the limit on requests that its last answer stated, if any.
+    ``is_leaving`` means that its answers say that it will end.
     """
 
     registration: models.WorkerRegistration
@@ -51,7 +50,6 @@
     paused_until: float = 0
     is_absent: bool = False
     warming_until: float = 0
-    limit_per_s: float | None = None
 
     @property
     def is_draining(self) -> bool:
@@ -92,7 +90,7 @@
 class Fleet:
     """Registry of the workers by name and by upstream."""
 
-    __slots__ = ('by_upstream', 'departures', 'leaving', 'workers')
+    __slots__ = ('by_upstream', 'departures', 'leaving', 'limits', 'workers')
 
     def __init__(self) -> None:
         self.departures: dict[str, Departure] = {}
@@ -100,6 +98,7 @@
         self.leaving: dict[str, int] = {}
         self.workers: dict[str, Worker] = {}
         self.by_upstream: dict[str, list[Worker]] = {}
+        self.limits = limits.RateLimits()
 
     def register(
         self, registration: models.WorkerRegistration, now: float
@@ -151,17 +150,30 @@
         worker.is_leaving = True
         return None if was_draining else worker
 
-    def get_pause_s(self, upstream: str, now: float) -> float:
-        """Return the time until the first paused worker takes requests.
+    def admits(self, worker: Worker, now: float) -> bool:
+        """Return whether a worker takes a request of this entry now."""
+        return not (worker.is_draining or self.get_wait_s(worker, now))
+
+    def get_wait_s(self, worker: Worker, now: float) -> float:
+        """Return the time until the end of a worker's pause and limit."""
+        start_key = worker.registration.start_key
+        return max(
+            0,
+            worker.paused_until - now,
+            self.limits.get_wait_s(start_key, now),
+        )
+
+    def get_least_wait_s(self, upstream: str, now: float) -> float:
+        """Return the time until the first worker that waits takes a request.
 
-        Return 0 if none is paused.
+        Return 0 if none has a pause or a limit.
         """
-        pauses = [
-            worker.paused_until - now
+        waits = [
+            self.get_wait_s(worker, now)
             for worker in self.select(upstream)
-            if worker.is_paused(now) and not worker.is_draining
+            if not worker.is_draining
         ]
-        return min(pauses, default=0)
+        return min(filter(None, waits), default=0)
 
     def mark_absent(self, name: str) -> Worker | None:
         """Mark a worker whose registration vanished; return it if known."""
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -111,8 +111,8 @@
         source: attempt.Attempt,
         answer: models.AnswerHead,
     ) -> None:
-        """Record whether the worker leaves or asks for a pause."""
-        outcomes.record_head(self.services, source.worker, answer)
+        """Record whether the worker leaves or wants fewer requests."""
+        outcomes.record_head(self.services, source, answer)
 
     def on_start(
         self,
@@ -265,6 +265,9 @@
         )
         self.attempt = new_attempt
         worker.running += 1
+        self.services.fleet.limits.record_send(
+            worker.registration.start_key, now
+        )
         if self.request.prompt is not None:
             new_attempt.pending_prefill_tokens = candidate.prefill_tokens
             new_attempt.prefill_tokens = candidate.prefill_tokens
@@ -309,7 +312,7 @@
         self._finish(evidence.conclude(self.history, failed, delay_s))
 
     def _give_up_without_worker(self, now: float) -> None:
-        wait_s = self.services.fleet.get_pause_s(self.upstream, now)
+        wait_s = self.services.fleet.get_least_wait_s(self.upstream, now)
         self._give_up(
             evidence.describe_no_worker(self.upstream, wait_s), wait_s
         )
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -105,6 +105,11 @@
             lambda parts: self.peer_exchange.crash_reporter.clear(parts),
             self._on_worker_draining,
             self._on_worker_leaving,
+            lambda worker, answer, sent_at: (
+                self.peer_exchange.limit_sharing.on_answer(
+                    worker, answer, sent_at
+                )
+            ),
         )
         self.checkpoint = checkpoint.Checkpoint(
             adapter.store,
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -17,10 +17,11 @@
 
 def record_head(
     services: context.Services,
-    worker: fleet.Worker,
+    source: attempt.Attempt,
     answer: models.AnswerHead,
 ) -> None:
     """Record what the head of an answer says about its worker."""
+    worker = source.worker
     registration = worker.registration
     if answer.is_leaving:
         leaving = services.fleet.mark_leaving(
@@ -28,14 +29,8 @@
         )
         if leaving is not None:
             services.on_worker_leaving(leaving)
-    if answer.limit_per_s != worker.limit_per_s and not answer.is_misdirected:
-        worker.limit_per_s = answer.limit_per_s
-        services.log.write(
-            'worker limit',
-            registration.name,
-            upstream=registration.upstream,
-            per_s=answer.limit_per_s,
-        )
+    if _is_from(worker, answer):
+        services.on_worker_answer(worker, answer, source.sent_at)
     if answer.retry_after_s is not None:
         until = services.timers.now() + answer.retry_after_s
         worker.paused_until = max(worker.paused_until, until)
@@ -47,6 +42,13 @@
         )
 
 
+def _is_from(worker: fleet.Worker, answer: models.AnswerHead) -> bool:
+    """Return whether an answer certainly comes from the assigned worker."""
+    if answer.is_misdirected:
+        return False
+    return answer.is_authentic or answer.is_refused
+
+
 def record_answer(
     services: context.Services,
     route: models.Route,
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -5,6 +5,7 @@
     context,
     copying,
     crash_reporting,
+    limit_sharing,
     sharing,
     trials,
     watching,
@@ -37,6 +38,9 @@
         self.crash_reporter = crash_reporting.CrashReporter(
             services, peers, steady_clock
         )
+        self.limit_sharing = limit_sharing.LimitSharing(
+            services, peers, steady_clock, incarnation
+        )
         self.trial_assessor = trials.TrialAssessor(services, peers, incarnation)
         self.sharing = sharing.Sharing(
             services,
@@ -64,9 +68,12 @@
                     frozenset(fact.workers),
                     self.services.timers.now(),
                 )
-
             case facts.SuspectPart():
                 self.crash_reporter.apply_part(fact)
+            case facts.WorkerLimit():
+                self.limit_sharing.apply_limit(fact)
+            case facts.LimitedSends():
+                self.limit_sharing.apply_sends(fact)
 
     def on_message(
         self,
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -298,10 +298,10 @@
         past_use = 0 if past_sum is None else past_sum.measure(now)
         return share * window_limit + (1 - share) * past_use
 
-    def _get_share(self, now: float) -> float:
-        """Return the share of a quota whose use this entry knows.
+    def measure_known_share(self, now: float) -> float:
+        """Return the share of the entries whose use this entry knows.
 
-        That is its own share and those of the peers that report.
+        These are the entry itself and the peers that report.
         """
         entries = self.count_entries()
         min_reports = 1
@@ -314,7 +314,11 @@
             peer.report_count >= min_reports and not _is_silent(peer, now)
             for peer in self.peers.values()
         )
-        share = (1 + reporting) / entries
+        return (1 + reporting) / entries
+
+    def _get_share(self, now: float) -> float:
+        """Return the share of a quota that may be used."""
+        share = self.measure_known_share(now)
         is_in_first_window = now - self.started_at < self.window_s
         return (
             share * UNKNOWN_USE_SHARE
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -265,7 +265,7 @@
             0,
             (worker,),
             self.services.timers.now(),
-            flow.allows,
+            lambda target: flow.allows(target) and not self._is_limited(target),
         )
         if candidate is not None:
             flow.relocation = Relocation(
@@ -276,6 +276,10 @@
             )
             flow.relocation.stop()
 
+    def _is_limited(self, worker: fleet.Worker) -> bool:
+        start_key = worker.registration.start_key
+        return self.services.fleet.limits.is_limited(start_key)
+
 
 def _is_movable(flow: 'flow.Flow', worker: fleet.Worker) -> bool:
     if flow.attempt is None or flow.attempt.worker is not worker:
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 from collections import abc
-from typing import Annotated, Literal, Union
+from typing import Annotated, Literal, Optional, Union
 
 import pydantic
 
@@ -150,6 +150,36 @@
     kind: Literal['leaving_worker'] = 'leaving_worker'
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class WorkerLimit:
+    """Announce the requests a second that a worker takes from all entries.
+
+    ``worker_start`` is the key of the worker's start, ``rate_per_s`` None if it
+    names no limit any more. ``named_at`` is in seconds since the epoch.
+    """
+
+    worker_start: Text
+    rate_per_s: Optional[float]
+    named_at: float
+    kind: Literal['worker_limit'] = 'worker_limit'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LimitedSends:
+    """Report an entry's requests to workers that name a limit.
+
+    ``sends`` counts them since the start of the incarnation by start of the
+    worker. ``sent_at`` is in seconds since the epoch.
+    """
+
+    name: Text
+    incarnation: int
+    sequence: int
+    sends: dict[str, int]
+    sent_at: float
+    kind: Literal['limited_sends'] = 'limited_sends'
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class StoredUsage:
     """Announce the counts of a usage window that are stored or sent."""
@@ -204,13 +234,16 @@
     TrafficState,
     LeavingHost,
     LeavingWorker,
+    WorkerLimit,
+    LimitedSends,
     StoredUsage,
     WithdrawnVersion,
     SuspectRequest,
     SuspectPart,
 ]
 
-BATCHED = (EntryState, LoadState, EvidenceState)  # sent by the periodic flush
+# Sent by the periodic flush.
+BATCHED = (EntryState, LoadState, LimitedSends, EvidenceState)
 
 
 # Fields that identify the subject of a fact, after its kind.
@@ -222,6 +255,8 @@
     TrafficState: ('upstream',),
     LeavingHost: ('host',),
     LeavingWorker: ('worker', 'started_at_ms'),
+    WorkerLimit: ('worker_start',),
+    LimitedSends: ('name',),
     StoredUsage: ('window',),
     WithdrawnVersion: ('upstream', 'version'),
     SuspectRequest: ('fingerprint',),
@@ -238,14 +273,16 @@
 def get_version(fact: Fact) -> Version:
     """Return the version that orders facts with the same key."""
     match fact:
-        case EntryState() | LoadState() | EvidenceState():
+        case EntryState() | LoadState() | LimitedSends() | EvidenceState():
             return fact.incarnation, fact.sequence
-        case ConfigurationState(revision=revision):
-            return revision, 0
-        case TrafficState(step=step):
-            return step, 0
-        case WithdrawnVersion(release=release):
-            return release, 0
+        case (
+            ConfigurationState(revision=number)
+            | TrafficState(step=number)
+            | WithdrawnVersion(release=number)
+        ):
+            return number, 0
+        case WorkerLimit(named_at=named_at):
+            return int(named_at * MS_PER_S), 0
         case SuspectRequest(workers=workers):
             # Merging only adds workers. Different sets of one size differ in
             # version unless the sums of the last bytes of the names are equal.
--- a/citronjunction/membership/gossip.py
+++ b/citronjunction/membership/gossip.py
@@ -10,7 +10,7 @@
 MAX_KEYS_PER_DIGEST = 2000
 # Sent periodically by their origin. Where all nodes are linked to each other,
 # forwarding them would only multiply the bytes.
-PERIODIC = (facts.EntryState, facts.LoadState)
+PERIODIC = (facts.EntryState, facts.LoadState, facts.LimitedSends)
 
 
 class Forwarding(enum.Enum):
--- a/citronjunction/membership/table.py
+++ b/citronjunction/membership/table.py
@@ -7,13 +7,18 @@
 from citronjunction.membership import facts
 
 MAX_FACTS = 20000
-ENTRY_MAX_AGE_S = 600.0
-SUSPECT_MAX_AGE_S = 900.0
 SUSPECT_PART_MAX_AGE_S = 300.0
 CLEARED_PART_MAX_AGE_S = 20.0  # reports of earlier crashes arrive within it
-LEAVING_MAX_AGE_S = 1800.0
-LEAVING_WORKER_MAX_AGE_S = 120.0  # a worker ends within seconds
-STORED_USAGE_MAX_AGE_S = 60.0  # a report is due within seconds
+# Time field and maximum age in seconds of the facts that expire.
+MAX_AGES: abc.Mapping[type, tuple[str, float]] = {
+    facts.EntryState: ('sent_at', 600.0),
+    facts.SuspectRequest: ('noticed_at', 900.0),
+    facts.LeavingHost: ('noticed_at', 1800.0),
+    facts.LeavingWorker: ('noticed_at', 120.0),  # it ends within seconds
+    facts.WorkerLimit: ('named_at', 120.0),  # refreshed while it is named
+    facts.LimitedSends: ('sent_at', 60.0),  # no window of a limit is longer
+    facts.StoredUsage: ('noticed_at', 60.0),  # a report is due within seconds
+}
 
 
 class FactTable:
@@ -68,21 +73,13 @@
 
 def is_outdated(fact: facts.Fact, now: float) -> bool:
     """Return whether a fact is too old to be stored or sent."""
-    match fact:
-        case facts.EntryState(sent_at=at):
-            return now - at > ENTRY_MAX_AGE_S
-        case facts.SuspectRequest(noticed_at=at):
-            return now - at > SUSPECT_MAX_AGE_S
-        case facts.SuspectPart():
-            return _is_part_outdated(fact, now)
-        case facts.LeavingHost(noticed_at=at):
-            return now - at > LEAVING_MAX_AGE_S
-        case facts.LeavingWorker(noticed_at=at):
-            return now - at > LEAVING_WORKER_MAX_AGE_S
-        case facts.StoredUsage(noticed_at=at):
-            return now - at > STORED_USAGE_MAX_AGE_S
-        case _:
-            return False
+    if isinstance(fact, facts.SuspectPart):
+        return _is_part_outdated(fact, now)
+    limit = MAX_AGES.get(type(fact))
+    if limit is None:
+        return False
+    field, max_age_s = limit
+    return now - getattr(fact, field) > max_age_s
 
 
 def _merge(known: facts.Fact | None, offered: facts.Fact) -> facts.Fact:
--- a/tests/gateway/test_worker_limits.py
+++ b/tests/gateway/test_worker_limits.py
@@ -50,6 +50,7 @@
 def test_a_worker_gets_no_more_than_its_limit_from_all_entries(deployed, limit):
     since = name_limit(deployed, limit, 'llm-0')
     answers = press(deployed, 15)
+    deployed.world.run(1)
 
     assert count_worst_window(
         deployed.workers['llm-0'], since
@@ -153,3 +154,27 @@
     assert count_worst_window(
         deployed.workers['llm-0'], since
     ) <= compute_allowed(2)
+
+
+def test_an_answer_without_a_signature_does_not_lift_a_limit(deployed):
+    since = name_limit(deployed, 1, 'llm-0')
+    press(deployed, 3)
+    behaviour = deployed.workers['llm-0'].behaviour
+    behaviour.limit = ''
+    behaviour.is_unsigned = True
+    press(deployed, 9)
+
+    assert count_worst_window(
+        deployed.workers['llm-0'], since
+    ) <= compute_allowed(1)
+
+
+def test_an_entry_that_starts_knows_the_limit_from_its_peers(deployed):
+    name_limit(deployed, 1, 'llm-0')
+    press(deployed, 3)
+    deployed.add_gateway('gateway-9')
+    deployed.world.run(3)
+
+    known = deployed.gateways['gateway-9'].services.fleet.limits
+    worker = deployed.gateways['gateway-9'].services.fleet.workers['llm-0']
+    assert known.is_limited(worker.registration.start_key)
