--- a/tests/gateway/test_worker_limits.py
+++ b/tests/gateway/test_worker_limits.py
@@ -147,8 +147,7 @@
     since = name_limit(deployed, 2, 'llm-0')
     press(deployed, 5)
     names = [f'gateway-{number}' for number in range(ENTRIES)]
-    hosts = [deployed.gateway_hosts[name] for name in names]
-    deployed.world.partition(hosts[:3], hosts[3:])
+    deployed.world.partition(names[:3], names[3:])
     press(deployed, 12)
 
     assert count_worst_window(
