--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -24,6 +24,9 @@
         self.hosts = {}
         self.listeners = {}
         self.partitions = set()
+        self.refusals = set()
+        # As by a TCP user timeout; None: bytes are lost without a trace.
+        self.user_timeout_s = None
 
     def add_host(self, name):
         host = Host(self, name)
@@ -56,8 +59,16 @@
         """Drop all bytes between two groups of hosts until ``heal``."""
         self.partitions.update(frozenset((a, b)) for a in names for b in others)
 
+    def refuse(self, names, others):
+        """Refuse new connections between two groups until ``heal``."""
+        self.refusals.update(frozenset((a, b)) for a in names for b in others)
+
+    def is_refused(self, one, other):
+        return frozenset((one.name, other.name)) in self.refusals
+
     def heal(self):
         self.partitions.clear()
+        self.refusals.clear()
 
     def _perform(self, event):
         host = event.host
@@ -157,6 +168,9 @@
             self.close(connection, 'ECONNREFUSED')
             return
         host, accept = listener
+        if self.world.is_refused(self.host, host):
+            self.close(connection, 'ECONNREFUSED')
+            return
         if self.world.is_partitioned(self.host, host):
             self.host.timers.call_later(
                 timeout_s, lambda: self.close(connection, 'connect timed out')
@@ -172,11 +186,16 @@
 
     def _to_remote(self, connection, action):
         remote = self.remotes.get(id(connection))
-        if remote is not None and not self.world.is_partitioned(
-            self.host, remote.host
-        ):
+        if remote is None:
+            return
+        if not self.world.is_partitioned(self.host, remote.host):
             at = self.world.now + LATENCY_S
             self.world.schedule(at, remote.host, lambda: action(remote))
+        elif self.world.user_timeout_s is not None:
+            self.timers.call_later(
+                self.world.user_timeout_s,
+                lambda: self.close(connection, 'Connection timed out'),
+            )
 
 
 class Remote:
