Forward requests to peers while an entry reaches no worker

Cause: a request could only run over a connection of the entry's own; nothing in the fleet knew that an entry was cut off. Class of fault: redundancy at hand that is not used, since only single dependencies have a health, not the path to all.

An upstream counts as lost once connections to all its workers fail; its requests go to a peer that reaches it, with what is left of deadline and sends, charged and counted once.

The parts of the gateway that this made too large are split: announcing (state and addresses), assembling (construction), worker_events (dispatch), dispatching (start of attempts), connection_checks (moved from crash_reporting).

--- a/citronjunction/gateway/admitting.py
+++ b/citronjunction/gateway/admitting.py
@@ -31,12 +31,17 @@
     request: models.CallerRequest,
     traits: suspects.Traits,
     organisation: models.Organisation | None,
+    *,
+    is_charged: bool,
 ) -> float | verdicts.NotRun:
-    """Return what a request costs of the quota, or why it is refused."""
+    """Return what a request costs of the quota, or why it is refused.
+
+    Unless ``is_charged``, a peer has charged its cost.
+    """
     refusal = check_suspect(services, traits)
     if refusal is not None:
         return refusal
-    if organisation is None:
+    if organisation is None or not is_charged:
         return 0
     return charge(services, organisation, request.prompt)
 
--- a/citronjunction/gateway/application.py
+++ b/citronjunction/gateway/application.py
@@ -42,7 +42,14 @@
                 self._deny(exchange, request, UNAUTHORISED, reason)
                 return
             organisation = configuration.organisations[name]
-        flow.Flow(self.services, request, route, organisation, exchange).start()
+        flow.Flow(
+            self.services,
+            request,
+            route,
+            organisation,
+            exchange,
+            self.services.forwarder.signer.verify(request),
+        ).start()
 
     def reject(
         self,
--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -1,9 +1,11 @@
 """One attempt to run a request at a worker."""
 
+import dataclasses
 from typing import Protocol
 
 from citronjunction.gateway import events, evidence, fleet, models, ports
 from citronjunction.transport import http_client, timer_queue
+from citronjunction.verdicts import http
 from citronjunction.verdicts import models as verdicts
 
 MAX_BUFFER_BYTES = 262144  # larger plain answers are relayed in parts
@@ -112,7 +114,7 @@
 
     def on_head(self, head: http_client.Head) -> None:
         """Check the head of the answer."""
-        answer = self.codec.decode_answer(head)
+        answer = self._decode(head)
         self.answer = answer
         self.owner.on_head(self, answer)
         is_foreign = answer.is_success and not answer.is_authentic
@@ -242,7 +244,24 @@
         self.buffer.clear()
         self.owner.on_start(self, self.answer, part)
 
+    def _decode(self, head: http_client.Head) -> models.AnswerHead:
+        answer = self.codec.decode_answer(head)
+        is_peers_own = self.worker.is_peer and not answer.is_authentic
+        if is_peers_own and http.is_not_run(head.headers):
+            return dataclasses.replace(answer, is_refused=True)
+        return answer
+
     def _report_refusal(self) -> None:
+        if self.worker.is_peer:
+            self.owner.on_failed(
+                self,
+                evidence.describe_peer_refusal(
+                    self.worker.registration.name,
+                    self.answer.status,
+                    self.answer.retry_after_s or 0,
+                ),
+            )
+            return
         if self.answer.is_misdirected:
             self._report_failure(
                 evidence.Evidence.refused,
--- a/citronjunction/gateway/context.py
+++ b/citronjunction/gateway/context.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 from collections import abc
+from typing import Protocol
 
 from citronjunction.attempts import suspect_parts, suspects
 from citronjunction.conf import models as conf
@@ -12,27 +13,57 @@
     choosing,
     counting,
     fleet,
+    forwarding,
     matching,
     models,
     ports,
     quotas,
+    reachability,
     rollouts,
 )
 from citronjunction.observability import decisions
 from citronjunction.transport import http_client, timer_queue
 
 
+class Observer(Protocol):
+    """Receive what requests show about workers."""
+
+    def on_run(self, organisation: str) -> None:
+        """Handle a request that may have run at a worker."""
+
+    def on_suspect_request(
+        self, traits: suspects.Traits, lost: attempt.Attempt
+    ) -> None:
+        """Handle an attempt whose connection was lost."""
+
+    def on_parts_answered(self, parts: abc.Sequence[int]) -> None:
+        """Handle a complete answer to a prompt with these shared parts."""
+
+    def on_worker_answer(
+        self,
+        worker: fleet.Worker,
+        answer: models.AnswerHead,
+        sent_at: float,
+    ) -> None:
+        """Handle the head of an answer to a request sent at a time."""
+
+    def on_unreachable(self, worker: fleet.Worker) -> None:
+        """Handle a worker that could not be connected to."""
+
+    def on_connected(self, upstream: str) -> None:
+        """Handle an answer of an upstream's worker on a new connection."""
+
+    def on_worker_draining(self, worker: fleet.Worker) -> None:
+        """Handle a worker that begins to drain."""
+
+    def on_worker_leaving(self, worker: fleet.Worker) -> None:
+        """Handle a worker whose answer says that it will end."""
+
+
 @dataclasses.dataclass(slots=True)
 class Services:
     """Store the shared collaborators and state of a gateway.
 
-    ``on_run`` gets the organisation of each request that may have run at a
-    worker, ``on_suspect_request`` the traits and the lost attempt of a request
-    whose connection was lost, ``on_parts_answered`` the shared parts of a
-    prompt that was answered completely, ``on_worker_draining`` a worker that
-    begins to drain, ``on_worker_leaving`` one whose answer says that it will
-    end, ``on_worker_answer`` each answer with its worker and the time at which
-    its request was sent.
     ``offered`` counts prompt tokens by upstream (1 for each request
     without a prompt) since the start, ``flows`` are the requests in progress.
     """
@@ -48,16 +79,11 @@
     rollouts: rollouts.Rollouts
     suspects: suspects.Suspects
     suspect_parts: suspect_parts.SuspectParts
+    reach: reachability.Reachability
+    forwarder: forwarding.Forwarder
     log: decisions.DecisionLog
     counts: counting.Counts
-    on_run: abc.Callable[[str], None]
-    on_suspect_request: abc.Callable[[suspects.Traits, attempt.Attempt], None]
-    on_parts_answered: abc.Callable[[abc.Sequence[int]], None]
-    on_worker_draining: abc.Callable[[fleet.Worker], None]
-    on_worker_leaving: abc.Callable[[fleet.Worker], None]
-    on_worker_answer: abc.Callable[
-        [fleet.Worker, models.AnswerHead, float], None
-    ]
+    observer: Observer
     configuration: models.Configuration | None = None
     routes: matching.RouteTable = dataclasses.field(
         default_factory=lambda: matching.RouteTable(()),
--- a/citronjunction/gateway/crash_reporting.py
+++ b/citronjunction/gateway/crash_reporting.py
@@ -5,10 +5,9 @@
 
 from citronjunction.attempts import suspects
 from citronjunction.duties import clock
-from citronjunction.gateway import attempt, context
+from citronjunction.gateway import attempt, connection_checks, context
 from citronjunction.membership import facts
 from citronjunction.peering import node
-from citronjunction.transport import sockets
 
 CONNECT_S = 0.5  # a running worker accepts within milliseconds
 CHECK_DELAY_S = 0.1  # a worker that ends closes its listener a bit later
@@ -33,47 +32,6 @@
     is_confirmed: bool = False
 
 
-class CrashCheck:
-    """Test by a connection whether a worker crashed.
-
-    A crashed worker refuses the connection; one that only lost an answer
-    accepts it.
-    """
-
-    __slots__ = ('connection', 'on_result', 'owner')
-
-    def __init__(
-        self,
-        owner: sockets.Sockets,
-        on_result: abc.Callable[[bool], None],
-    ) -> None:
-        """Call ``on_result`` with whether the worker is down."""
-        self.owner = owner
-        self.on_result = on_result
-        self.connection: sockets.Connection | None = None
-
-    def start(self, address: str) -> None:
-        """Schedule the connection to an address."""
-        self.owner.timers.call_later(
-            CHECK_DELAY_S,
-            lambda: self._dial(address),
-        )
-
-    def on_open(self) -> None:
-        """Close the connection to a worker that runs."""
-        self.owner.close(self.connection, 'the worker accepts connections')
-
-    def on_bytes(self, chunk: bytes) -> None:
-        """Ignore bytes, because nothing was requested."""
-
-    def on_close(self, reason: str, was_open: bool) -> None:
-        """Report whether the worker accepted the connection."""
-        self.on_result(not was_open)
-
-    def _dial(self, address: str) -> None:
-        self.connection = self.owner.dial(address, self, CONNECT_S)
-
-
 class CrashReporter:
     """Publish the requests and parts that ran when a worker crashed."""
 
@@ -97,10 +55,12 @@
         if crash is None:
             crash = Crash(registration.name, self.clock.now())
             self.crashes[start] = crash
-            CrashCheck(
+            # A worker that only lost an answer accepts the connection.
+            connection_checks.ConnectionCheck(
                 self.peers.loop.sockets,
-                lambda is_down: self._on_checked(start, is_down=is_down),
-            ).start(registration.address)
+                CONNECT_S,
+                lambda is_up: self._on_checked(start, is_down=not is_up),
+            ).start(registration.address, CHECK_DELAY_S)
         age_s = self.services.timers.now() - lost.sent_at
         sent_at = self.clock.now() - age_s
         crash.fingerprints.add(traits.fingerprint)
--- a/citronjunction/gateway/evidence.py
+++ b/citronjunction/gateway/evidence.py
@@ -21,11 +21,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class AttemptFailure:
-    """Describe a failed attempt; ``code`` is an error code for callers."""
+    """Describe a failed attempt; ``code`` is an error code for callers.
+
+    ``retry_after_s`` is the wait that a peer stated, or 0.
+    """
 
     evidence: Evidence
     reason: str
     code: str
+    retry_after_s: float = 0
 
 
 def describe_status(status: int) -> AttemptFailure:
@@ -46,17 +50,31 @@
     return AttemptFailure(Evidence.refused, reason, 'no_worker')
 
 
+def describe_peer_refusal(
+    entry: str, status: int, retry_after_s: float
+) -> AttemptFailure:
+    """Return the failure of a request that a peer has not run."""
+    return AttemptFailure(
+        Evidence.refused,
+        f'entry {entry} refused with {status}',
+        'peer_refused',
+        retry_after_s,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptHistory:
     """Accumulate the evidence of all attempts of a request.
 
-    ``sends`` counts the attempts whose bytes may have reached a worker.
+    ``sends`` counts the attempts whose bytes may have reached a worker,
+    ``connect_failures`` those that could not connect.
     """
 
     is_idempotent: bool
     max_workers: int
     sends: int = 0
     attempts: int = 0
+    connect_failures: int = 0
     may_have_run: bool = False
 
     def record(self, failed: AttemptFailure) -> None:
@@ -64,6 +82,7 @@
         match failed.evidence:
             case Evidence.not_sent:
                 self.sends -= 1
+                self.connect_failures += 1
             case Evidence.may_have_run:
                 self.may_have_run = True
             case Evidence.refused:
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -32,7 +32,8 @@
     ``peer_running`` and ``peer_prefill_tokens`` are the same for the other
     entries, as last reported. ``warming_until`` is in monotonic seconds, and so
     is ``paused_until``, before which the worker wants no request of this entry.
-    ``is_leaving`` means that its answers say that it will end.
+    ``is_leaving`` means that its answers say that it will end, ``is_peer`` that
+    this is another entry, to which requests are forwarded.
     """
 
     registration: models.WorkerRegistration
@@ -50,6 +51,7 @@
     paused_until: float = 0
     is_absent: bool = False
     warming_until: float = 0
+    is_peer: bool = False
 
     @property
     def is_draining(self) -> bool:
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -4,8 +4,8 @@
     admitting,
     assigning,
     attempt,
-    choosing,
     context,
+    dispatching,
     evidence,
     fleet,
     models,
@@ -19,8 +19,6 @@
 
 RETRY_AFTER_S = 0.3  # a full worker usually frees a slot by then
 GATEWAY_TIMEOUT = 504  # HTTP status
-# Codes of failures that a crash of the worker may have caused.
-CRASH_CODES = frozenset(('connection_lost', 'broken_off'))
 
 
 class Flow:
@@ -33,6 +31,7 @@
         'deadline_timer',
         'expected_s',
         'first_byte_s',
+        'forwarded',
         'history',
         'is_over',
         'is_run_counted',
@@ -57,6 +56,7 @@
         route: models.Route,
         organisation: models.Organisation | None,
         exchange: http_server.Exchange,
+        forwarded: models.Forwarded | None = None,
     ) -> None:
         self.services = services
         self.request = request
@@ -66,9 +66,11 @@
         self.response = responses.CallerResponse(exchange, is_stream=is_stream)
         self.deadline_at = assigning.compute_deadline_at(route, request)
         self.deadline_timer: timer_queue.Timer | None = None
-        self.history = evidence.AttemptHistory(
-            route.is_idempotent, route.max_workers
-        )
+        self.forwarded = forwarded
+        max_workers = route.max_workers
+        if forwarded is not None:
+            max_workers = min(max_workers, forwarded.max_workers)
+        self.history = evidence.AttemptHistory(route.is_idempotent, max_workers)
         self.traits = admitting.identify(request)
         self.attempt: attempt.Attempt | None = None
         self.tried: list[fleet.Worker] = []
@@ -82,7 +84,7 @@
         self.expected_s: float | None = None
         self.first_byte_s: float | None = None
         self.is_trial = False
-        self.is_run_counted = False
+        self.is_run_counted = forwarded is not None  # by the peer
         self.is_over = False
 
     def start(self) -> None:
@@ -95,7 +97,11 @@
             max(0, self.deadline_at - now), self._on_deadline
         )
         charged = admitting.admit(
-            services, self.request, self.traits, self.organisation
+            services,
+            self.request,
+            self.traits,
+            self.organisation,
+            is_charged=self.forwarded is None,
         )
         if isinstance(charged, verdicts.NotRun):
             self._finish(charged)
@@ -103,7 +109,8 @@
         self.cost = charged
         self.upstream = assigning.draw_upstream(self.route, services.random)
         self.is_trial = services.rollouts.draws_trial(self.upstream, now)
-        services.record_offered(self.upstream, self.request.prompt, now)
+        if self.forwarded is None:
+            services.record_offered(self.upstream, self.request.prompt, now)
         self._try_worker()
 
     def on_head(
@@ -136,9 +143,7 @@
 
     def on_paced(self, source: attempt.Attempt, pace_s: float) -> None:
         """Record the pace of a stream as evidence about its version."""
-        self.services.rollouts.record_time(
-            source.worker, self.route.name, typical_s=pace_s
-        )
+        outcomes.record_pace(self.services, self.route, source, pace_s)
 
     def on_complete(self, source: attempt.Attempt) -> None:
         """Finish an answer that was relayed in parts."""
@@ -177,15 +182,15 @@
         self._close_attempt(source, is_good=None)
         if self.relocation is not None and self.relocation.on_stream_broken():
             return
-        outcomes.record_failure(self.services, self.route, source, failed)
-        if failed.code in CRASH_CODES:
-            self.services.on_suspect_request(self.traits, source)
+        outcomes.record_failure(
+            self.services, self.route, source, failed, self.traits
+        )
         if failed.evidence is evidence.Evidence.may_have_run:
             self._count_run()
         self.history.record(failed)
         if self._try_again(failed):
             return
-        self._give_up(failed)
+        self._give_up(failed, failed.retry_after_s)
 
     def resume_at(self, worker: fleet.Worker, kv_source: str) -> None:
         """Resume a stopped run at a worker.
@@ -194,7 +199,7 @@
         """
         if not self.is_over:
             now = self.services.timers.now()
-            self._send(choosing.Candidate(worker, 0, 0, 0), now, kv_source)
+            dispatching.resume(self, worker, now, kv_source)
 
     def finish_stream(self, source: attempt.Attempt) -> None:
         """Finish an answer whose end has been received."""
@@ -222,6 +227,8 @@
     def _try_worker(self) -> None:
         services = self.services
         now = services.timers.now()
+        if self._try_peer(now):
+            return
         candidate = services.chooser.choose(
             self.upstream,
             self.request.prompt,
@@ -242,48 +249,21 @@
             if refusal is not None:
                 self._finish(refusal)
                 return
-        self._send(candidate, now)
-
-    def _send(
-        self,
-        candidate: choosing.Candidate,
-        now: float,
-        kv_source: str = '',
-    ) -> None:
-        worker = candidate.worker
         self.expected_s = candidate.wait_s
-        self.tried.append(worker)
-        self.history.sends += 1
-        self.history.attempts += 1
-        new_attempt = attempt.Attempt(
-            self,
-            worker,
-            self.services.codec,
-            self.services.timers,
-            is_stream=self.route.kind is models.RouteKind.stream,
-            stall_s=assigning.compute_stall_s(self.route),
-        )
-        self.attempt = new_attempt
-        worker.running += 1
-        self.services.fleet.limits.record_send(
-            worker.registration.start_key, now
-        )
-        if self.request.prompt is not None:
-            new_attempt.pending_prefill_tokens = candidate.prefill_tokens
-            new_attempt.prefill_tokens = candidate.prefill_tokens
-            worker.prefill_tokens[self.urgency] += candidate.prefill_tokens
-        call = self.services.codec.encode_call(
-            self.request,
-            assigning.build_assignment(
-                self.route,
-                self.organisation,
-                worker,
-                self.deadline_at - now,
-                self.last_event,
-                kv_source,
-            ),
-        )
-        new_attempt.call = self.services.client.send(call, new_attempt)
+        dispatching.send(self, candidate, now)
+
+    def _try_peer(self, now: float) -> bool:
+        """Forward the request if needed; return whether a peer gets it."""
+        forwarder = self.services.forwarder
+        connect_failures = self.history.connect_failures
+        if self.forwarded is not None or not forwarder.is_needed(
+            self.upstream, connect_failures
+        ):
+            return False
+        peer = forwarder.choose(self.upstream, self.tried, now)
+        if peer is not None:
+            dispatching.forward(self, peer, now)
+        return peer is not None
 
     def _try_again(self, failed: evidence.AttemptFailure) -> bool:
         now = self.services.timers.now()
@@ -372,7 +352,7 @@
         if not self.is_run_counted:
             self.is_run_counted = True
             if self.organisation is not None:
-                self.services.on_run(self.organisation.name)
+                self.services.observer.on_run(self.organisation.name)
 
     def _refund(self) -> None:
         if self.organisation is not None and self.cost:
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -207,6 +207,7 @@
 
     ``headers`` are sent to the worker unchanged. ``key`` authenticates the
     caller, ``last_event`` is the event id after which a stream resumes.
+    ``forwarding_mark`` is the signed mark of a peer that forwarded the request.
     """
 
     name: str
@@ -221,6 +222,30 @@
     prompt: Prompt | None
     last_event: str
     arrived_at: float
+    forwarding_mark: str = ''
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Forwarding:
+    """Peer that a request is forwarded to; fields are as in ``Assignment``."""
+
+    address: str
+    deadline_s: float
+    last_event: str
+    connect_s: float
+    max_idle_s: float
+    mark: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Forwarded:
+    """Describe the peer that forwarded a request and has charged its cost.
+
+    ``max_workers`` limits the workers that it may still be sent to.
+    """
+
+    entry: str
+    max_workers: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from citronjunction.attempts import suspect_parts, suspects
 from citronjunction.conf import models as conf
 from citronjunction.duties import (
     autoscaling,
@@ -15,18 +14,17 @@
     usage,
 )
 from citronjunction.gateway import (
+    announcing,
     application,
-    choosing,
-    context,
+    assembling,
     counting,
-    fleet,
+    forwarding,
     peer_exchange,
     ports,
-    quotas,
     relocation,
-    rollouts,
     stopping,
     watching,
+    worker_events,
 )
 from citronjunction.membership import facts, messages
 from citronjunction.observability import decisions
@@ -55,8 +53,7 @@
 class GatewayNode:
     """Run a gateway in a process.
 
-    ``incarnation`` distinguishes the starts of an entry, ``sequence`` the
-    states that it announces.
+    ``incarnation`` distinguishes the starts of an entry.
     """
 
     def __init__(
@@ -71,8 +68,6 @@
         self.name = settings.process.name
         self.incarnation = int(timers.wall_time() * 1000)
         self.eras = adapter.eras
-        self.sequence = 0
-        self.announced_at: float = 0
         self.clock = clock.SteadyClock(timers)
         self.log = decisions.DecisionLog(self.name, self.clock.now)
         self.ledger = usage.UsageLedger(
@@ -80,37 +75,8 @@
             self.name,
             self.incarnation,
         )
-        workers = fleet.Fleet()
-        self.services = context.Services(
-            settings,
-            timers,
-            loop.client,
-            loop.random,
-            adapter.codec,
-            workers,
-            choosing.Chooser(workers, settings.process.zone, loop.random),
-            quotas.Quotas(settings.quotas.window_s, timers.now()),
-            rollouts.Rollouts(loop.random, settings.control.significance),
-            suspects.Suspects(settings.attempts),
-            suspect_parts.SuspectParts(
-                settings.attempts,
-                lambda part: self.peers.roles.owns(str(part)),
-            ),
-            self.log,
-            counting.Counts(self.name),
-            self._count_run,
-            lambda traits, lost: self.peer_exchange.crash_reporter.check(
-                traits, lost
-            ),
-            lambda parts: self.peer_exchange.crash_reporter.clear(parts),
-            self._on_worker_draining,
-            self._on_worker_leaving,
-            lambda worker, answer, sent_at: (
-                self.peer_exchange.limit_sharing.on_answer(
-                    worker, answer, sent_at
-                )
-            ),
-        )
+        self.events = worker_events.WorkerEvents(self)
+        self.services = assembling.build_services(self, adapter.codec)
         self.checkpoint = checkpoint.Checkpoint(
             adapter.store,
             self.eras,
@@ -178,6 +144,7 @@
             self.app,
         )
         self.stopper = stopping.Stopper(self)
+        self.announcer = announcing.Announcer(self)
 
     def start(self) -> None:
         """Open all listeners and start all timers."""
@@ -186,14 +153,15 @@
             self.http_server.accept,
         )
         self.peers.listen(*split_address(self.settings.listeners.control))
-        self.announce()
+        self.announcer.announce()
         self.peers.start()
         self.watcher.start()
         self.checkpoint.start()
         self.peer_exchange.start()
         timers = self.loop.timers
         timers.call_every(
-            self.settings.membership.heartbeat_s, self._send_heartbeat
+            self.settings.membership.heartbeat_s,
+            self.announcer.send_heartbeat,
         )
         timers.call_later(
             DUTIES_DELAY_S,
@@ -212,45 +180,7 @@
 
     def list_addresses(self) -> list[str]:
         """Return the addresses of entries that serve callers, shuffled."""
-        self.peers.update_roles()
-        addresses = {
-            state.address
-            for state in self.peers.roles.serving.values()
-            if state.name != self.name and state.revision
-        }
-        is_used = not (self.peers.roles.stands_by and addresses)
-        if is_used and self.is_ready():
-            addresses.add(self.settings.listeners.front)
-        shuffled = sorted(addresses)
-        self.loop.random.shuffle(shuffled)
-        return shuffled
-
-    def announce(self) -> None:
-        """Publish the state of this entry; revision 0 means not ready."""
-        self.sequence += 1
-        self.announced_at = self.loop.timers.now()
-        process = self.settings.process
-        configuration = self.services.configuration
-        is_ready = self.is_ready()
-        self.peers.publish(
-            facts.EntryState(
-                self.name,
-                self.incarnation,
-                self.sequence,
-                self.settings.listeners.front,
-                self.settings.listeners.control,
-                process.zone,
-                process.region,
-                self.clock.now(),
-                self.stopper.is_stopping,
-                configuration.version if configuration and is_ready else 0,
-                len(self.services.flows),
-                cores=process.cores,
-                period_s=self.peers.roles.get_own_period_s(),
-                stands_by=self.peers.roles.stands_by,
-                store_era=self.eras.current,
-            ),
-        )
+        return self.announcer.list_addresses()
 
     def on_fact(self, fact: facts.Fact) -> None:
         """Process a fact that a peer published."""
@@ -262,7 +192,7 @@
                     self.lease_client.observe_version(version)
                 self.peer_exchange.on_fact(fact)
             case facts.LeavingWorker():
-                self._apply_leaving_worker(fact)
+                self.events.apply_leaving_worker(fact)
             case facts.StoredUsage():
                 self.reporter.record_stored(fact.window, fact.counts)
             case _:
@@ -285,14 +215,14 @@
     def _on_configuration(self) -> None:
         limits = self.services.configuration.limits
         http = self.settings.http
-        http.max_head = limits.head_bytes
+        http.max_head = limits.head_bytes + forwarding.MARK_BYTES
         http.max_body = limits.body_bytes
         http.idle_s = limits.idle_s + 1
-        self.announce()
+        self.announcer.announce()
 
     def _begin_era(self) -> None:
         self.reporter.begin_era()
-        self.announce()
+        self.announcer.announce()
 
     def _publish_stored_usage(
         self, window: int, counts: reporting.Counts
@@ -314,64 +244,6 @@
     def _has_silent_peer(self) -> bool:
         return self.services.quotas.has_silent_peer(self.loop.timers.now())
 
-    def _count_run(self, organisation: str) -> None:
-        self.ledger.record_request(organisation, self.clock.now())
-
-    def _on_worker_draining(self, worker: fleet.Worker) -> None:
-        self.evacuation.schedule(worker)
-
-    def _on_worker_leaving(self, worker: fleet.Worker) -> None:
-        registration = worker.registration
-        self.peers.publish(
-            facts.LeavingWorker(
-                registration.name,
-                registration.started_at_ms,
-                self.loop.timers.wall_time(),
-            ),
-        )
-        self._drain(worker, 'its answer')
-
-    def _apply_leaving_worker(self, fact: facts.LeavingWorker) -> None:
-        worker = self.services.fleet.mark_leaving(
-            fact.worker, fact.started_at_ms
-        )
-        if worker is not None:
-            self._drain(worker, 'a peer')
-
-    def _drain(self, worker: fleet.Worker, source: str) -> None:
-        self.log.write(
-            'worker leaving',
-            worker.registration.name,
-            upstream=worker.registration.upstream,
-            source=source,
-        )
-        self.evacuation.schedule(worker)
-
-    def _send_heartbeat(self) -> None:
-        self._review_role()
-        period_s = self.peers.roles.get_own_period_s()
-        period_s = period_s or self.peers.liveness.get_heartbeat_period_s()
-        if self.loop.timers.now() - self.announced_at >= period_s:
-            self.announce()
-
-    def _review_role(self) -> None:
-        roles = self.peers.roles
-        stands_by = roles.stands_by
-        is_divided = roles.has_standby() and not stands_by
-        self.services.serving_count = len(roles.serving) * is_divided
-        if stands_by is self.watcher.is_following:
-            return
-        self.log.write(
-            'role',
-            self.name,
-            stands_by=stands_by,
-            serving=len(roles.serving),
-            live=roles.live_count,
-        )
-        self.watcher.set_following(is_following=stands_by)
-        self.sharing.apply_role()
-        self.announce()
-
     def _do_duties(self) -> None:
         if self.stopper.is_stopping:
             self.sharing.lease_version = ''
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -13,6 +13,8 @@
 
 # Prompt tokens to prefill; latencies are compared only within a size class.
 PREFILL_SIZE_BOUNDS = (512, 4096)
+# Codes of failures that a crash of the worker may have caused.
+CRASH_CODES = frozenset(('connection_lost', 'broken_off'))
 
 
 def record_head(
@@ -22,15 +24,19 @@
 ) -> None:
     """Record what the head of an answer says about its worker."""
     worker = source.worker
+    if worker.is_peer:
+        return
     registration = worker.registration
+    if not source.call.is_reused:
+        services.observer.on_connected(registration.upstream)
     if answer.is_leaving:
         leaving = services.fleet.mark_leaving(
             registration.name, registration.started_at_ms
         )
         if leaving is not None:
-            services.on_worker_leaving(leaving)
+            services.observer.on_worker_leaving(leaving)
     if _is_from(worker, answer):
-        services.on_worker_answer(worker, answer, source.sent_at)
+        services.observer.on_worker_answer(worker, answer, source.sent_at)
     if answer.retry_after_s is not None:
         until = services.timers.now() + answer.retry_after_s
         worker.paused_until = max(worker.paused_until, until)
@@ -58,6 +64,8 @@
 ) -> None:
     """Record an answer of a worker; eject the worker if it fails too often."""
     worker = source.worker
+    if worker.is_peer:
+        return
     now = services.timers.now()
     services.rollouts.record(worker, route.name, is_good=is_good)
     if is_good:
@@ -78,7 +86,7 @@
     """
     services.suspects.clear(traits.fingerprint)
     if traits.parts and answer.is_success and answer.is_framed:
-        services.on_parts_answered(traits.parts)
+        services.observer.on_parts_answered(traits.parts)
 
 
 def record_failure(
@@ -86,19 +94,36 @@
     route: models.Route,
     source: attempt.Attempt,
     failed: evidence.AttemptFailure,
+    traits: suspects.Traits,
 ) -> None:
     """Record a failed attempt and draw the conclusions for the worker.
 
     An unreachable worker is ejected at once, another one if it fails too often.
     A worker whose address belongs to another one now is removed.
     """
+    worker = source.worker
+    now = services.timers.now()
+    if failed.evidence is evidence.Evidence.not_sent:
+        worker.health.record_unreachable(now)
+        services.client.drop_idle(worker.registration.address)
+        _log_ejection(services, worker, failed.reason)
+        if not worker.is_peer:
+            services.observer.on_unreachable(worker)
+    elif not worker.is_peer:
+        _record_worker_failure(services, route, source, failed)
+        if failed.code in CRASH_CODES:
+            services.observer.on_suspect_request(traits, source)
+
+
+def _record_worker_failure(
+    services: context.Services,
+    route: models.Route,
+    source: attempt.Attempt,
+    failed: evidence.AttemptFailure,
+) -> None:
     worker = source.worker
     now = services.timers.now()
     match failed.evidence:
-        case evidence.Evidence.not_sent:
-            worker.health.record_unreachable(now)
-            services.client.drop_idle(worker.registration.address)
-            _log_ejection(services, worker, failed.reason)
         case evidence.Evidence.may_have_run:
             services.rollouts.record(worker, route.name, is_good=False)
             if worker.health.record_failure(now):
@@ -108,6 +133,19 @@
             _log_ejection(services, worker, failed.reason)
 
 
+def record_pace(
+    services: context.Services,
+    route: models.Route,
+    source: attempt.Attempt,
+    pace_s: float,
+) -> None:
+    """Record the time between events of a stream as evidence."""
+    if not source.worker.is_peer:
+        services.rollouts.record_time(
+            source.worker, route.name, typical_s=pace_s
+        )
+
+
 def set_peer_outcomes(
     services: context.Services,
     reported: abc.Iterable[abc.Mapping[str, tuple[int, int]]],
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -6,6 +6,7 @@
     copying,
     crash_reporting,
     limit_sharing,
+    reach_checking,
     sharing,
     trials,
     watching,
@@ -41,6 +42,9 @@
         self.limit_sharing = limit_sharing.LimitSharing(
             services, peers, steady_clock, incarnation
         )
+        self.reach_checker = reach_checking.ReachChecker(
+            services, peers, steady_clock, incarnation
+        )
         self.trial_assessor = trials.TrialAssessor(services, peers, incarnation)
         self.sharing = sharing.Sharing(
             services,
@@ -74,6 +78,8 @@
                 self.limit_sharing.apply_limit(fact)
             case facts.LimitedSends():
                 self.limit_sharing.apply_sends(fact)
+            case facts.LostUpstreams():
+                self.reach_checker.apply_report(fact)
 
     def on_message(
         self,
--- a/citronjunction/gateway/ports.py
+++ b/citronjunction/gateway/ports.py
@@ -21,5 +21,12 @@
     ) -> http_client.Call:
         """Encode a request for the worker of its assignment."""
 
+    def encode_forwarded(
+        self,
+        request: models.CallerRequest,
+        forwarding: models.Forwarding,
+    ) -> http_client.Call:
+        """Encode a caller's request for a peer."""
+
     def decode_answer(self, head: http_client.Head) -> models.AnswerHead:
         """Decode the head of a worker's answer."""
--- a/citronjunction/gateway/recording.py
+++ b/citronjunction/gateway/recording.py
@@ -23,6 +23,18 @@
     )
 
 
+def record_forward(flow: 'flow.Flow', entry: str) -> None:
+    """Log that a request is forwarded to a peer."""
+    flow.services.log.write(
+        'forward',
+        flow.request.name,
+        entry=entry,
+        upstream=flow.upstream,
+        is_lost=flow.upstream in flow.services.reach.lost,
+        connect_failures=flow.history.connect_failures,
+    )
+
+
 def record_unframed_answer(
     flow: 'flow.Flow',
     source: 'attempt.Attempt',
@@ -63,6 +75,7 @@
         organisation=flow.organisation.name if flow.organisation else '',
         workers=[worker.registration.name for worker in flow.tried],
         sends=flow.history.sends,
+        forwarded_by=flow.forwarded.entry if flow.forwarded else '',
         is_started=flow.response.is_started,
         held_ms=_to_ms(duration_s),
         expected_ms=_to_ms(flow.expected_s),
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -154,6 +154,13 @@
         peers = (load.offered.get(upstream, 0) for load in self.loads.values())
         return own + sum(peers)
 
+    def count_running(self, name: str) -> int:
+        """Return the number of requests that a peer last reported."""
+        load = self.loads.get(name)
+        if load is None:
+            return 0
+        return sum(counts[0] for counts in load.running.values())
+
     def is_peer_holder(self) -> bool:
         """Return whether a live peer reports that it holds the duties lease."""
         now = self.services.timers.now()
--- a/citronjunction/gateway/stopping.py
+++ b/citronjunction/gateway/stopping.py
@@ -33,7 +33,7 @@
         owner.log.write('stop', owner.name, flows=len(owner.services.flows))
         owner.http_server.is_closing = True
         owner.lease_client.release()
-        owner.announce()
+        owner.announcer.announce()
         owner.sharing.publish()
         owner.loop.timers.call_every(IDLE_CHECK_S, self._check)
 
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -299,7 +299,7 @@
         was_draining = known is not None and known.is_draining
         worker = services.fleet.register(registration, services.timers.now())
         if worker.is_draining and not (worker is known and was_draining):
-            services.on_worker_draining(worker)
+            services.observer.on_worker_draining(worker)
         if before is None or _is_changed(before, registration):
             services.log.write(
                 'worker',
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -180,6 +180,23 @@
     kind: Literal['limited_sends'] = 'limited_sends'
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LostUpstreams:
+    """Report the upstreams to which an entry can't connect.
+
+    ``is_cut_off`` means that it reaches no worker of any upstream. ``noticed_at``
+    is in seconds since the epoch.
+    """
+
+    name: Text
+    incarnation: int
+    sequence: int
+    upstreams: tuple[Text, ...]
+    is_cut_off: bool
+    noticed_at: float
+    kind: Literal['lost_upstreams'] = 'lost_upstreams'
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class StoredUsage:
     """Announce the counts of a usage window that are stored or sent."""
@@ -236,6 +253,7 @@
     LeavingWorker,
     WorkerLimit,
     LimitedSends,
+    LostUpstreams,
     StoredUsage,
     WithdrawnVersion,
     SuspectRequest,
@@ -257,6 +275,7 @@
     LeavingWorker: ('worker', 'started_at_ms'),
     WorkerLimit: ('worker_start',),
     LimitedSends: ('name',),
+    LostUpstreams: ('name',),
     StoredUsage: ('window',),
     WithdrawnVersion: ('upstream', 'version'),
     SuspectRequest: ('fingerprint',),
@@ -273,7 +292,13 @@
 def get_version(fact: Fact) -> Version:
     """Return the version that orders facts with the same key."""
     match fact:
-        case EntryState() | LoadState() | LimitedSends() | EvidenceState():
+        case (
+            EntryState()
+            | LoadState()
+            | LimitedSends()
+            | LostUpstreams()
+            | EvidenceState()
+        ):
             return fact.incarnation, fact.sequence
         case (
             ConfigurationState(revision=number)
--- a/citronjunction/platform/caller_requests.py
+++ b/citronjunction/platform/caller_requests.py
@@ -30,6 +30,7 @@
         _read_prompt(headers),
         headers.get(names.LAST_EVENT.lower(), ''),
         request.arrived_at,
+        headers.get(names.FORWARDED.lower(), ''),
     )
 
 
--- a/citronjunction/platform/names.py
+++ b/citronjunction/platform/names.py
@@ -19,7 +19,9 @@
 HOLDER = 'Holder'
 FENCING_TOKEN = 'Fencing-Token'
 STORE_ERA = 'Store-Era'  # rises each time the store is restored from a copy
+AUTHORIZATION = 'Authorization'
 BEARER_PREFIX = 'bearer '
+FORWARDED = 'Citron-Forwarded'  # signed mark of the entry that forwards
 
 # Only this system sets them; values that a caller sends are dropped.
 SYSTEM_HEADERS = frozenset(
@@ -36,6 +38,7 @@
         'authorization',
         'deadline-ms',
         'last-event-id',
+        'citron-forwarded',
     ),
 )
 
--- a/citronjunction/platform/request_codec.py
+++ b/citronjunction/platform/request_codec.py
@@ -22,6 +22,14 @@
         """Encode the request for the worker that it is assigned to."""
         return upstream_calls.encode(request, assignment)
 
+    def encode_forwarded(
+        self,
+        request: models.CallerRequest,
+        forwarding: models.Forwarding,
+    ) -> http_client.Call:
+        """Encode a caller's request for a peer."""
+        return upstream_calls.encode_forwarded(request, forwarding)
+
     def decode_answer(self, head: http_client.Head) -> models.AnswerHead:
         """Decode the head of a worker's answer."""
         return upstream_calls.decode(head)
--- a/citronjunction/platform/upstream_calls.py
+++ b/citronjunction/platform/upstream_calls.py
@@ -24,9 +24,7 @@
 ) -> http_client.Call:
     """Encode the request for the worker that it is assigned to."""
     headers = dict(request.headers)
-    headers[names.TIME_LEFT_MS] = str(
-        max(1, int(assignment.deadline_s * MS_PER_S)),
-    )
+    headers[names.TIME_LEFT_MS] = _encode_time_left(assignment.deadline_s)
     headers[names.EXPECTED_WORKER] = assignment.worker
     if assignment.organisation:
         headers[names.ORGANISATION] = assignment.organisation
@@ -50,6 +48,36 @@
     )
 
 
+def encode_forwarded(
+    request: models.CallerRequest,
+    forwarding: models.Forwarding,
+) -> http_client.Call:
+    """Encode a caller's request for a peer, with the caller's key."""
+    headers = dict(request.headers)
+    headers[names.TIME_LEFT_MS] = _encode_time_left(forwarding.deadline_s)
+    headers[names.FORWARDED] = forwarding.mark
+    if request.key:
+        headers[names.AUTHORIZATION] = f'{names.BEARER_PREFIX}{request.key}'
+    if forwarding.last_event:
+        headers[names.LAST_EVENT] = forwarding.last_event
+    return http_client.Call(
+        forwarding.address,
+        request.method,
+        request.target,
+        headers,
+        request.body,
+        connect_s=forwarding.connect_s,
+        silence_s=forwarding.deadline_s + RESPONSE_MARGIN_S,
+        max_idle_s=forwarding.max_idle_s,
+        host=request.host,
+        echo=http_client.Echo(ECHO_HEADER, request.name),
+    )
+
+
+def _encode_time_left(deadline_s: float) -> str:
+    return str(max(1, int(deadline_s * MS_PER_S)))
+
+
 def decode(head: http_client.Head) -> models.AnswerHead:
     """Return what the head of a worker's answer states about the request."""
     headers = head.headers
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -103,6 +103,7 @@
         'connection',
         'idle_s',
         'is_head_delivered',
+        'is_reused',
         'is_sent',
         'loss_code',
         'opened_at',
@@ -117,6 +118,7 @@
         self.connection: sockets.Connection | None = None
         self.silence_timer: timer_queue.Timer | None = None
         self.idle_s = MAX_IDLE_S
+        self.is_reused = False
         self.assign(call, sink)
 
     def assign(self, call: Call, sink: Sink) -> None:
@@ -271,6 +273,7 @@
         """Send a call; report its response or failure to the sink."""
         exchange = self._acquire_idle(call)
         if exchange is not None:
+            exchange.is_reused = True
             exchange.assign(call, sink)
             exchange.on_open()
             return exchange
--- a/citronjunction/verdicts/http.py
+++ b/citronjunction/verdicts/http.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from collections import abc
 
 from citronjunction.verdicts import models
 
@@ -24,6 +25,14 @@
             return {VERDICT_HEADER: MAY_HAVE_RUN}
 
 
+def is_not_run(headers: abc.Mapping[str, str]) -> bool:
+    """Return whether an answer with these headers states ``NotRun``.
+
+    Keys are in lower case.
+    """
+    return headers.get(VERDICT_HEADER.lower()) == NOT_RUN
+
+
 def build_error(failure: models.Failure, request_id: str) -> dict[str, object]:
     """Return the error body in the format of the OpenAI API."""
     is_client_error = failure.status < MIN_SERVER_ERROR_STATUS
--- a/tests/gateway/test_standby.py
+++ b/tests/gateway/test_standby.py
@@ -100,7 +100,7 @@
 def test_an_entry_that_becomes_standby_in_an_outage_follows_changes(fleet):
     standby = min(set(fleet.gateways) - fleet.select_serving())
     watcher = fleet.gateways[standby].watcher
-    fleet.gateways[standby]._review_role = lambda: None
+    fleet.gateways[standby].announcer._review_role = lambda: None
     watcher.set_following(is_following=False)
     fleet.world.run(0.5)
     fleet.store.is_down = True
