--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -4,6 +4,7 @@
 import json
 
 SIGNATURE = 'sig.{}'
+DOWN_S = 3.0  # after a fall
 
 
 @dataclasses.dataclass
@@ -15,6 +16,10 @@
     of requests a second that all answers name. ``cut_after_events`` aborts a
     stream in the middle of the event after that number. While ``is_silent``, requests run without an answer. The
     process ends as it begins to answer a prompt with ``deadly_part``.
+
+    With ``slots`` set, requests beyond them are refused. A worker that names
+    ``brittle`` falls over when it refuses more than that in a second, and loses
+    all connections for ``DOWN_S``.
     """
 
     service_time_s: float = 0.02
@@ -31,6 +36,8 @@
     is_leaving: bool = False
     retry_after: str = ''
     limit: str = ''
+    brittle: str = ''
+    slots: int = 0
     deadly_part: str = ''
 
 
@@ -48,6 +55,9 @@
         self.behaviour = Behaviour()
         self.arrivals = []
         self.arrived_at = []
+        self.refused_at = []
+        self.fell_at = []
+        self.busy = set()
         self.runs = []
         self.cancelled = []
         self.streams = {}
@@ -76,6 +86,14 @@
             self._respond(exchange, 421, {'Instance': self.name}, b'')
             return
         behaviour = self.behaviour
+        if self._is_down():
+            exchange.abort()
+            return
+        self.busy = {known for known in self.busy if not known.is_done}
+        if behaviour.slots and len(self.busy) >= behaviour.slots:
+            self._refuse_full(exchange)
+            return
+        self.busy.add(exchange)
         if behaviour.refusals_left:
             behaviour.refusals_left -= 1
             headers = {'Not-Executed': '1'}
@@ -94,6 +112,21 @@
     def reject(self, exchange, status, reason):
         exchange.respond(status, {}, reason.encode())
 
+    def _is_down(self):
+        now = self.host.timers.now()
+        return bool(self.fell_at) and now < self.fell_at[-1] + DOWN_S
+
+    def _refuse_full(self, exchange):
+        self._respond(exchange, 503, {'Not-Executed': '1'}, b'')
+        now = self.host.timers.now()
+        self.refused_at.append(now)
+        recent = [at for at in self.refused_at if now - at < 1]
+        brittle = self.behaviour.brittle
+        if brittle and len(recent) > float(brittle):
+            self.fell_at.append(now)
+            for running in self.busy:
+                running.abort()
+
     def _finish(self, exchange):
         if exchange.is_done:
             return
@@ -150,6 +183,8 @@
             headers['Server-Leaving'] = '1'
         if self.behaviour.limit:
             headers['Server-Limit'] = self.behaviour.limit
+        if self.behaviour.brittle:
+            headers['Server-Brittle'] = self.behaviour.brittle
         return headers
 
     def _stream(self, exchange):
