Divide the places of brittle workers among the entries

Cause: entries choose the least loaded worker by reports a quarter of a second old and learn from a refusal that it is full. Class of fault: each entry reacts alone to what counts for all of them.

While a worker of an upstream is brittle, each entry has a part of the places of all its workers; a refusal shrinks a worker's room for all entries and spares it for a second.

Limits and brittleness share what workers name (constraints): one fact, one way to tell a late answer from a change.

--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -86,10 +86,8 @@
     ) -> list[fleet.Worker]:
         available = [
             worker
-            for worker in self.fleet.select(upstream)
-            if self.fleet.admits(worker, now)
-            and worker not in tried
-            and allows(worker)
+            for worker in self.fleet.select_admitting(upstream, now)
+            if worker not in tried and allows(worker)
         ]
         healthy = [
             worker for worker in available if not worker.health.is_ejected(now)
--- a/citronjunction/gateway/context.py
+++ b/citronjunction/gateway/context.py
@@ -47,6 +47,9 @@
     ) -> None:
         """Handle the head of an answer to a request sent at a time."""
 
+    def on_full(self, worker: fleet.Worker) -> None:
+        """Handle a worker that refused a request for want of room."""
+
     def on_unreachable(self, worker: fleet.Worker) -> None:
         """Handle a worker that could not be connected to."""
 
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections import abc
 
-from citronjunction.gateway import health, limits, models
+from citronjunction.gateway import brittleness, health, limits, models
 
 # Time for which a worker is still used after its registration vanished; must
 # stay below the time within which a draining worker has to be out of use.
@@ -92,7 +92,14 @@
 class Fleet:
     """Registry of the workers by name and by upstream."""
 
-    __slots__ = ('by_upstream', 'departures', 'leaving', 'limits', 'workers')
+    __slots__ = (
+        'brittleness',
+        'by_upstream',
+        'departures',
+        'leaving',
+        'limits',
+        'workers',
+    )
 
     def __init__(self) -> None:
         self.departures: dict[str, Departure] = {}
@@ -101,6 +108,7 @@
         self.workers: dict[str, Worker] = {}
         self.by_upstream: dict[str, list[Worker]] = {}
         self.limits = limits.RateLimits()
+        self.brittleness = brittleness.Brittleness()
 
     def register(
         self, registration: models.WorkerRegistration, now: float
@@ -152,9 +160,21 @@
         worker.is_leaving = True
         return None if was_draining else worker
 
-    def admits(self, worker: Worker, now: float) -> bool:
-        """Return whether a worker takes a request of this entry now."""
-        return not (worker.is_draining or self.get_wait_s(worker, now))
+    def is_brittle(self, upstream: str) -> bool:
+        """Return whether workers of an upstream must not have to refuse."""
+        return self.brittleness.has_brittle(
+            worker.registration.start_key for worker in self.select(upstream)
+        )
+
+    def select_admitting(self, upstream: str, now: float) -> list[Worker]:
+        """Return the workers that take a request of this entry now."""
+        is_brittle = self.is_brittle(upstream)
+        return [
+            worker
+            for worker in self.select(upstream)
+            if not (worker.is_draining or self.get_wait_s(worker, now))
+            and (not is_brittle or self._has_place(worker, now))
+        ]
 
     def get_wait_s(self, worker: Worker, now: float) -> float:
         """Return the time until the end of a worker's pause and limit."""
@@ -263,6 +283,15 @@
             if failures
         }
 
+    def _has_place(self, worker: Worker, now: float) -> bool:
+        return self.brittleness.has_place(
+            worker.registration.start_key,
+            brittleness.Places(
+                worker.registration.slots, worker.running, worker.total_running
+            ),
+            now,
+        )
+
     def _replace(self, worker: Worker) -> None:
         earlier = self.workers.get(worker.registration.name)
         if earlier is not None:
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -280,7 +280,8 @@
     that the worker will end, ``retry_after_s`` is the time for which it asks
     for no further requests. ``is_framed`` is false if only the end of the
     connection ends the body. ``limit_per_s`` is the number of requests a second
-    that the worker takes from all entries together, None if it states none.
+    that the worker takes from all entries together, ``max_refusals_per_s`` the
+    number of refusals above which it ends; each is None if it states none.
     """
 
     status: int
@@ -293,6 +294,7 @@
     retry_after_s: float | None = None
     is_framed: bool = True
     limit_per_s: float | None = None
+    max_refusals_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -128,6 +128,8 @@
             services.rollouts.record(worker, route.name, is_good=False)
             if worker.health.record_failure(now):
                 _log_ejection(services, worker, failed.reason)
+        case evidence.Evidence.refused if failed.code == 'upstream_full':
+            services.observer.on_full(worker)
         case evidence.Evidence.refused if failed.code == 'misdirected':
             services.fleet.retire(worker, now, is_final=True)
             _log_ejection(services, worker, failed.reason)
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -2,10 +2,10 @@
 
 from citronjunction.duties import clock, usage
 from citronjunction.gateway import (
+    constraint_sharing,
     context,
     copying,
     crash_reporting,
-    limit_sharing,
     reach_checking,
     sharing,
     trials,
@@ -39,7 +39,7 @@
         self.crash_reporter = crash_reporting.CrashReporter(
             services, peers, steady_clock
         )
-        self.limit_sharing = limit_sharing.LimitSharing(
+        self.constraint_sharing = constraint_sharing.ConstraintSharing(
             services, peers, steady_clock, incarnation
         )
         self.reach_checker = reach_checking.ReachChecker(
@@ -74,12 +74,10 @@
                 )
             case facts.SuspectPart():
                 self.crash_reporter.apply_part(fact)
-            case facts.WorkerLimit():
-                self.limit_sharing.apply_limit(fact)
-            case facts.LimitedSends():
-                self.limit_sharing.apply_sends(fact)
             case facts.LostUpstreams():
                 self.reach_checker.apply_report(fact)
+            case _:
+                self.constraint_sharing.on_fact(fact)
 
     def on_message(
         self,
--- a/citronjunction/gateway/worker_events.py
+++ b/citronjunction/gateway/worker_events.py
@@ -38,11 +38,15 @@
         answer: models.AnswerHead,
         sent_at: float,
     ) -> None:
-        """Evaluate the limit in an answer to a request sent at a time."""
-        self.owner.peer_exchange.limit_sharing.on_answer(
+        """Evaluate the constraints in an answer to a request sent at a time."""
+        self.owner.peer_exchange.constraint_sharing.on_answer(
             worker, answer, sent_at
         )
 
+    def on_full(self, worker: fleet.Worker) -> None:
+        """Spare a brittle worker that refused a request."""
+        self.owner.peer_exchange.constraint_sharing.on_full(worker)
+
     def on_unreachable(self, worker: fleet.Worker) -> None:
         """Check whether other workers can be connected to."""
         self.owner.peer_exchange.reach_checker.on_unreachable(worker)
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -151,17 +151,32 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class WorkerLimit:
-    """Announce the requests a second that a worker takes from all entries.
+class WorkerConstraint:
+    """Announce a constraint that a worker names for all entries together.
 
-    ``worker_start`` is the key of the worker's start, ``rate_per_s`` None if it
-    names no limit any more. ``named_at`` is in seconds since the epoch.
+    ``worker_start`` is the key of the worker's start, ``per_s`` None if it does
+    not name the constraint any more. ``named_at`` is in seconds since the epoch.
     """
 
     worker_start: Text
-    rate_per_s: Optional[float]
+    constraint: Literal['requests', 'refusals']
+    per_s: Optional[float]
     named_at: float
-    kind: Literal['worker_limit'] = 'worker_limit'
+    kind: Literal['worker_constraint'] = 'worker_constraint'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FullWorker:
+    """Report that a worker refused a request for want of room.
+
+    ``room`` is the number of requests that it had, ``noticed_at`` is in
+    seconds since the epoch.
+    """
+
+    worker_start: Text
+    room: int
+    noticed_at: float
+    kind: Literal['full_worker'] = 'full_worker'
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -251,7 +266,8 @@
     TrafficState,
     LeavingHost,
     LeavingWorker,
-    WorkerLimit,
+    WorkerConstraint,
+    FullWorker,
     LimitedSends,
     LostUpstreams,
     StoredUsage,
@@ -273,7 +289,8 @@
     TrafficState: ('upstream',),
     LeavingHost: ('host',),
     LeavingWorker: ('worker', 'started_at_ms'),
-    WorkerLimit: ('worker_start',),
+    WorkerConstraint: ('worker_start', 'constraint'),
+    FullWorker: ('worker_start',),
     LimitedSends: ('name',),
     LostUpstreams: ('name',),
     StoredUsage: ('window',),
@@ -306,8 +323,8 @@
             | WithdrawnVersion(release=number)
         ):
             return number, 0
-        case WorkerLimit(named_at=named_at):
-            return int(named_at * MS_PER_S), 0
+        case WorkerConstraint(named_at=at) | FullWorker(noticed_at=at):
+            return int(at * MS_PER_S), 0
         case SuspectRequest(workers=workers):
             # Merging only adds workers. Different sets of one size differ in
             # version unless the sums of the last bytes of the names are equal.
--- a/citronjunction/membership/table.py
+++ b/citronjunction/membership/table.py
@@ -15,7 +15,8 @@
     facts.SuspectRequest: ('noticed_at', 900.0),
     facts.LeavingHost: ('noticed_at', 1800.0),
     facts.LeavingWorker: ('noticed_at', 120.0),  # it ends within seconds
-    facts.WorkerLimit: ('named_at', 120.0),  # refreshed while it is named
+    facts.WorkerConstraint: ('named_at', 120.0),  # refreshed while named
+    facts.FullWorker: ('noticed_at', 10.0),
     facts.LimitedSends: ('sent_at', 60.0),  # no window of a limit is longer
     facts.LostUpstreams: ('noticed_at', 30.0),  # refreshed while any is lost
     facts.StoredUsage: ('noticed_at', 60.0),  # a report is due within seconds
--- a/citronjunction/platform/upstream_calls.py
+++ b/citronjunction/platform/upstream_calls.py
@@ -95,7 +95,8 @@
         is_leaving=headers.get(names.LEAVING.lower(), '').strip() == IS_LEAVING,
         retry_after_s=_read_retry_after(head),
         is_framed=head.is_framed,
-        limit_per_s=_read_limit(headers),
+        limit_per_s=_read_rate(headers, names.LIMIT),
+        max_refusals_per_s=_read_rate(headers, names.BRITTLE),
     )
 
 
@@ -122,18 +123,18 @@
     return min(seconds, MAX_RETRY_AFTER_S)
 
 
-def _read_limit(headers: abc.Mapping[str, str]) -> float | None:
-    text = headers.get(names.LIMIT.lower())
+def _read_rate(headers: abc.Mapping[str, str], name: str) -> float | None:
+    text = headers.get(name.lower())
     if text is None:
         return None
     try:
-        limit = float(text)
+        rate = float(text)
     except ValueError:
-        limit = math.nan
-    if not 0 <= limit < math.inf:
-        logging.warning('worker sent an unusable Server-Limit: %.40r', text)
+        rate = math.nan
+    if not 0 <= rate < math.inf:
+        logging.warning('worker sent an unusable %s: %.40r', name, text)
         return None
-    return limit
+    return rate
 
 
 def _read_length(headers: abc.Mapping[str, str]) -> int | None:
