Let connections outlast a worker's silence of a second or so

The user timeout of 2 s also ended connections whose keep-alive probe of the first second was lost, though the worker was back before the second: LOST requests and 502s at a sound worker.

tests/transport/test_silent_peers.py computes from a socket's options whether it outlasts a silence, idle and with bytes sent, as Linux does; 3 of 6 cases failed before. With 3.5 s the probes of the first three seconds count and sent bytes are repeated after 3 s.

--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -18,8 +18,10 @@
 CLOSED_BY_PEER = 'closed by peer'
 KEEPALIVE_IDLE_S = 1  # without traffic before the first probe
 KEEPALIVE_INTERVAL_S = 1  # between probes
-KEEPALIVE_PROBES = 2  # unanswered probes until the connection fails
-USER_TIMEOUT_MS = 2000  # the connection fails if sent bytes stay unacknowledged
+KEEPALIVE_PROBES = 3  # unanswered ones, where no user timeout is known
+# The connection fails if sent bytes, or keep-alive probes, stay unanswered. The
+# kernel repeats sent bytes after 0.2, 0.6, 1.4 and 3 s.
+USER_TIMEOUT_MS = 3500
 
 
 class Receiver(Protocol):
