Notice a silent cut from requests that wait on open connections

Cause: a lost upstream was found by failed connects alone, and open connections need none. A request that waits 0.4 s on a reused connection, while no worker of the upstream sends a byte, now makes the entry check all workers; if they are silent, idle connections are closed and unanswered idempotent requests go to a peer.

--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -116,6 +116,7 @@
         """Check the head of the answer."""
         answer = self._decode(head)
         self.answer = answer
+        self.worker.heard_at = self.clock.now()
         self.owner.on_head(self, answer)
         is_foreign = answer.is_success and not answer.is_authentic
         if is_foreign and not self.is_over:
@@ -130,8 +131,10 @@
         """Relay or buffer a part of the body."""
         if self.is_over:
             return
+        now = self.clock.now()
+        self.worker.heard_at = now
         if self.first_byte_at is None:
-            self.first_byte_at = self.clock.now()
+            self.first_byte_at = now
         if self.is_stream and self.answer.is_success:
             self._relay_events(chunk)
             return
--- a/citronjunction/gateway/connection_checks.py
+++ b/citronjunction/gateway/connection_checks.py
@@ -1,10 +1,19 @@
 """Checks by a connection whether something listens at an address."""
 
+import enum
 from collections import abc
 
 from citronjunction.transport import sockets
 
 
+class Result(enum.Enum):
+    """Result of a check."""
+
+    accepted = 'accepted'
+    refused = 'refused'
+    silent = 'silent'
+
+
 class ConnectionCheck:
     """Connect to an address once and close the connection."""
 
@@ -14,9 +23,9 @@
         self,
         owner: sockets.Sockets,
         timeout_s: float,
-        on_result: abc.Callable[[bool], None],
+        on_result: abc.Callable[[Result], None],
     ) -> None:
-        """Call ``on_result`` with whether the connection was accepted."""
+        """Call ``on_result`` once; timeouts are in seconds."""
         self.owner = owner
         self.timeout_s = timeout_s
         self.on_result = on_result
@@ -34,8 +43,13 @@
         """Ignore bytes, because nothing was requested."""
 
     def on_close(self, reason: str, was_open: bool) -> None:
-        """Report whether the connection was accepted."""
-        self.on_result(was_open)
+        """Report the result."""
+        if was_open:
+            self.on_result(Result.accepted)
+        elif reason == sockets.CONNECT_TIMED_OUT:
+            self.on_result(Result.silent)
+        else:
+            self.on_result(Result.refused)
 
     def _dial(self, address: str) -> None:
         self.connection = self.owner.dial(address, self, self.timeout_s)
--- a/citronjunction/gateway/crash_reporting.py
+++ b/citronjunction/gateway/crash_reporting.py
@@ -1,6 +1,7 @@
 """Detection of worker crashes, which make the running requests suspect."""
 
 import dataclasses
+import functools
 from collections import abc
 
 from citronjunction.attempts import suspects
@@ -59,7 +60,7 @@
             connection_checks.ConnectionCheck(
                 self.peers.loop.sockets,
                 CONNECT_S,
-                lambda is_up: self._on_checked(start, is_down=not is_up),
+                functools.partial(self._on_checked, start),
             ).start(registration.address, CHECK_DELAY_S)
         age_s = self.services.timers.now() - lost.sent_at
         sent_at = self.clock.now() - age_s
@@ -90,8 +91,8 @@
                 for_s=self.services.settings.attempts.suspect_s,
             )
 
-    def _on_checked(self, start: str, *, is_down: bool) -> None:
-        if not is_down:
+    def _on_checked(self, start: str, check: connection_checks.Result) -> None:
+        if check is connection_checks.Result.accepted:
             self.crashes.pop(start)
             return
         crash = self.crashes[start]
--- a/citronjunction/gateway/evidence.py
+++ b/citronjunction/gateway/evidence.py
@@ -62,6 +62,15 @@
     )
 
 
+def describe_lost_upstream(upstream: str) -> AttemptFailure:
+    """Return the failure of a request on a connection that was cut."""
+    return AttemptFailure(
+        Evidence.may_have_run,
+        f'connections to the workers of {upstream} are silent',
+        'upstream_lost',
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptHistory:
     """Accumulate the evidence of all attempts of a request.
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -33,7 +33,8 @@
     entries, as last reported. ``warming_until`` is in monotonic seconds, and so
     is ``paused_until``, before which the worker wants no request of this entry.
     ``is_leaving`` means that its answers say that it will end, ``is_peer`` that
-    this is another entry, to which requests are forwarded.
+    this is another entry, to which requests are forwarded. ``heard_at`` is when
+    bytes came from it last, in monotonic seconds.
     """
 
     registration: models.WorkerRegistration
@@ -52,6 +53,7 @@
     is_absent: bool = False
     warming_until: float = 0
     is_peer: bool = False
+    heard_at: float = 0
 
     @property
     def is_draining(self) -> bool:
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -211,6 +211,15 @@
         self.history.record(failed)
         self._give_up(failed)
 
+    def on_upstream_lost(self, upstream: str) -> None:
+        """Send an unanswered request elsewhere if it may run twice."""
+        lost = self.attempt
+        if upstream != self.upstream or lost is None or lost.worker.is_peer:
+            return
+        if self.route.is_idempotent and lost.answer is None:
+            lost.cancel()
+            self.on_failed(lost, evidence.describe_lost_upstream(upstream))
+
     def allows(self, worker: fleet.Worker) -> bool:
         """Return whether the rollout permits the worker's version."""
         return self.services.rollouts.allows(worker, is_trial=self.is_trial)
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -58,6 +58,7 @@
         self.sharing.start()
         self.copying.start()
         self.trial_assessor.start()
+        self.reach_checker.start()
 
     def on_fact(self, fact: facts.Fact) -> None:
         """Process a fact other than an entry's state."""
--- a/citronjunction/gateway/reach_checking.py
+++ b/citronjunction/gateway/reach_checking.py
@@ -5,6 +5,7 @@
 
 from citronjunction.duties import clock
 from citronjunction.gateway import (
+    attempt,
     connection_checks,
     context,
     fleet,
@@ -19,16 +20,32 @@
 PROBES = 2  # workers of a lost upstream that are checked at an interval
 PROBE_INTERVAL_S = 0.5
 REPORT_INTERVAL_S = 10.0  # between reports that stay the same
+SCAN_INTERVAL_S = 0.1
+# Without a byte from any worker of an upstream, while a request waits at one of
+# them for so long on a connection that was open before, all are checked.
+SILENCE_S = 0.4
+MIN_CHECK_INTERVAL_S = 1.0  # of an upstream, for its silence
 
 
 class Round:
     """Count the results of simultaneous checks of an upstream."""
 
-    __slots__ = ('is_over', 'pending')
+    __slots__ = ('is_over', 'is_silent', 'pending')
 
     def __init__(self, pending: int) -> None:
         self.pending = pending
         self.is_over = False
+        self.is_silent = True
+
+    def record(self, check: connection_checks.Result) -> bool:
+        """Record a result; return whether it ends the round."""
+        self.pending -= 1
+        if check is not connection_checks.Result.silent:
+            self.is_silent = False
+        if check is connection_checks.Result.accepted:
+            self.pending = 0
+        self.is_over = not self.pending
+        return self.is_over
 
 
 class ReachChecker:
@@ -49,6 +66,11 @@
         self.published_at: float = 0
         self.reach = services.reach
         self.rounds: dict[str, Round] = {}
+        self.checked_at: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Start to look for silent connections at intervals."""
+        self.services.timers.call_every(SCAN_INTERVAL_S, self._scan)
 
     def on_unreachable(self, worker: fleet.Worker) -> None:
         """Check the other workers once connections to several have failed."""
@@ -105,20 +127,34 @@
                 worker, functools.partial(self._on_checked, upstream, checks)
             )
 
-    def _on_checked(self, upstream: str, checks: Round, is_up: bool) -> None:
-        if checks.is_over:
-            return
-        checks.pending -= 1
-        if is_up:
-            self.on_connected(upstream)
-        elif checks.pending:
+    def _on_checked(
+        self, upstream: str, checks: Round, check: connection_checks.Result
+    ) -> None:
+        if checks.is_over or not checks.record(check):
             return
-        checks.is_over = True
         self.rounds.pop(upstream)
-        if not is_up:
-            self._lose(upstream)
+        if check is connection_checks.Result.accepted:
+            self.on_connected(upstream)
+        else:
+            self._lose(upstream, is_silent=checks.is_silent)
+
+    def _scan(self) -> None:
+        now = self.services.timers.now()
+        waiting = {
+            flow.attempt.worker.registration.upstream
+            for flow in self.services.flows
+            if _is_waiting(flow.attempt, now)
+        }
+        for upstream in waiting.difference(self.reach.lost):
+            workers = self.services.fleet.select(upstream)
+            heard_at = max((known.heard_at for known in workers), default=now)
+            is_silent = now - heard_at > SILENCE_S
+            checked_at = self.checked_at.get(upstream, 0)
+            if is_silent and now - checked_at > MIN_CHECK_INTERVAL_S:
+                self.checked_at[upstream] = now
+                self._check(upstream)
 
-    def _lose(self, upstream: str) -> None:
+    def _lose(self, upstream: str, *, is_silent: bool) -> None:
         if upstream in self.reach.lost:
             return
         is_probing = bool(self.reach.lost)
@@ -128,14 +164,24 @@
             upstream,
             workers=len(self._select(upstream)),
             is_cut_off=self.is_cut_off(),
+            is_silent=is_silent,
         )
         self._publish()
+        if is_silent:
+            self._abandon(upstream)
         for other in self.services.fleet.by_upstream:
             if other not in self.reach.lost:
                 self._check(other)
         if not is_probing:
             self._probe_later()
 
+    def _abandon(self, upstream: str) -> None:
+        """Give up the connections of an upstream that are silent, too."""
+        for worker in self.services.fleet.select(upstream):
+            self.services.client.drop_idle(worker.registration.address)
+        for flow in tuple(self.services.flows):
+            flow.on_upstream_lost(upstream)
+
     def _probe_later(self) -> None:
         self.services.timers.call_later(PROBE_INTERVAL_S, self._probe)
 
@@ -153,12 +199,16 @@
         if self.reach.lost:
             self._probe_later()
 
-    def _on_probed(self, upstream: str, is_up: bool) -> None:
-        if is_up:
+    def _on_probed(
+        self, upstream: str, check: connection_checks.Result
+    ) -> None:
+        if check is connection_checks.Result.accepted:
             self.on_connected(upstream)
 
     def _connect(
-        self, worker: fleet.Worker, on_result: abc.Callable[[bool], None]
+        self,
+        worker: fleet.Worker,
+        on_result: abc.Callable[[connection_checks.Result], None],
     ) -> None:
         connection_checks.ConnectionCheck(
             self.peers.loop.sockets, CONNECT_S, on_result
@@ -184,3 +234,11 @@
                 self.clock.now(),
             )
         )
+
+
+def _is_waiting(waiting: attempt.Attempt | None, now: float) -> bool:
+    """Return whether an attempt has waited long on a reused connection."""
+    if waiting is None or waiting.worker.is_peer or waiting.call is None:
+        return False
+    is_unanswered = waiting.answer is None and waiting.call.is_reused
+    return is_unanswered and now - waiting.sent_at > SILENCE_S
--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -16,6 +16,7 @@
 MAX_ACCEPTS_PER_EVENT = 64
 IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
 CLOSED_BY_PEER = 'closed by peer'
+CONNECT_TIMED_OUT = 'connect timed out'
 KEEPALIVE_IDLE_S = 1  # without traffic before the first probe
 KEEPALIVE_INTERVAL_S = 1  # between probes
 KEEPALIVE_PROBES = 3  # unanswered ones, where no user timeout is known
@@ -97,7 +98,7 @@
         self.connections[sock] = connection
         connection.connect_timer = self.timers.call_later(
             timeout_s,
-            lambda: self.close(connection, 'connect timed out'),
+            lambda: self.close(connection, CONNECT_TIMED_OUT),
         )
         code = sock.connect_ex((host, int(port)))
         if code and code not in IN_PROGRESS:
--- a/tests/gateway/test_cut_off_entries.py
+++ b/tests/gateway/test_cut_off_entries.py
@@ -75,6 +75,27 @@
     assert measure_served(first_tries) >= expected
 
 
+# Guards against RECOVER: requests wait on open connections that a cut silenced.
+@pytest.mark.parametrize('path', ['/safe/x', '/stream/r/x'])
+def test_silent_open_connections_are_noticed_before_they_time_out(
+    deployed, path
+):
+    deployed.world.user_timeout_s = 30
+    for worker in deployed.workers.values():
+        worker.behaviour.service_time_s = 0.4
+    press(deployed, 2, 'gateway-0', path=path, per_s=60)
+    for worker in deployed.workers.values():
+        worker.behaviour.service_time_s = 0.02
+    deployed.world.run(1)
+    cut(deployed, Cut.silent, 'gateway-0')
+    early = press(deployed, STABLE_S, 'gateway-0', path=path, per_s=4)
+    late = press(deployed, 3, 'gateway-0', path=path, per_s=4)
+    deployed.world.run(1)
+
+    assert measure_served(late) == 1
+    assert measure_served(early) == 1
+
+
 @pytest.mark.parametrize('how', list(Cut))
 def test_a_request_of_a_cut_off_entry_runs_once(deployed, how):
     cut(deployed, how, 'gateway-0')
