Try a version under suspicion with more requests

Cause: 9 % of 14 requests a second are ten in a trial, of which four are slow; a fault needs twice as many. The share was raised by time, so that the evidence came when the version had 30 % or all requests, and in doubt it stayed at the raised share. Also, with few samples of the old version an assumed rate of slow answers hid the new one's.

Evidence of 3 nats now raises the share to 30 % until 30 requests beyond the usual share have been tried; beyond that, also after it was raised by time, the usual share holds. The assumed slow samples are one of twenty instead of two.

--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -108,7 +108,9 @@
             return
         self.cost = charged
         self.upstream = assigning.draw_upstream(self.route, services.random)
-        self.is_trial = services.rollouts.draws_trial(self.upstream, now)
+        self.is_trial = services.rollouts.draws_trial(
+            self.upstream, services.count_budget_entries(), now
+        )
         if self.forwarded is None:
             services.record_offered(self.upstream, self.request.prompt, now)
         self._try_worker()
--- a/citronjunction/gateway/rollouts.py
+++ b/citronjunction/gateway/rollouts.py
@@ -9,10 +9,16 @@
 from citronjunction.gateway import fleet, models
 from citronjunction.releases import evidence
 
-# Each pair is a fraction of the rollout's duration and the share of requests
-# until then. A bad version may get a tenth of the requests at most, so the
-# share is raised only after a long trial.
-TRIAL_SHARES = ((0.55, 0.09), (0.75, 0.3))
+# A bad version may get a tenth of the requests at most, so the share is raised
+# only after a long trial. It is raised at fractions of the rollout's duration.
+USUAL_SHARE = 0.09
+USUAL_UNTIL = 0.55
+RAISED_SHARE = 0.3
+RAISED_UNTIL = 0.75
+# A fault shows after a number of requests, however long they take to come. On
+# suspicion, the next ones come at a higher share until these are used up.
+SUSPECT_SHARE = 0.3
+SUSPECT_REQUESTS = 30  # of all entries, beyond the usual share
 # Fraction of the rollout's duration at which it is reported as complete; the
 # rest leaves time to repeat a lost write.
 COMPLETE_AT = 0.93
@@ -37,7 +43,9 @@
     ``sequence`` and ``reported_measure`` belong to the last evidence that was
     published to peers. ``is_unrecorded`` means that the store has lost the
     final state, ``was_running`` that other entries had begun the rollout when
-    it was first seen.
+    it was first seen. ``requests`` counts this entry's requests since
+    ``begun_at``, ``tried`` those that were drawn for the version. ``is_suspect``
+    means that more requests must show whether it has a fault.
     """
 
     rollout: models.Rollout
@@ -51,6 +59,9 @@
     reported_measure: float = 0
     is_unrecorded: bool = False
     was_running: bool = False
+    requests: int = 0
+    tried: int = 0
+    is_suspect: bool = False
 
     @property
     def release(self) -> int:
@@ -68,6 +79,8 @@
         elif self.begun_at is None:
             self.begun_at = now
             self.doubted_s = 0
+            self.requests = 0
+            self.tried = 0
         return was_begun is not has_ready
 
     def record_doubt(self, *, is_doubtful: bool, now: float) -> bool:
@@ -153,12 +166,18 @@
         is_due = now >= trial.seen_at + trial.rollout.duration_s
         return trial.begun_at is not None or not is_due
 
-    def draws_trial(self, upstream: str, now: float) -> bool:
-        """Return at random whether a request goes to the version on trial."""
+    def draws_trial(self, upstream: str, entries: int, now: float) -> bool:
+        """Return at random whether a request goes to the version on trial.
+
+        ``entries`` is the number of entries that try it.
+        """
         trial = self.trials.get(upstream)
         if trial is None or not trial.is_open or trial.withdrawal_reason:
             return False
-        return self.random.random() < _get_share(trial, now)
+        trial.requests += 1
+        is_tried = self.random.random() < _get_share(trial, entries, now)
+        trial.tried += is_tried
+        return is_tried
 
     def allows(self, worker: fleet.Worker, *, is_trial: bool) -> bool:
         """Return whether a request may go to a worker's version."""
@@ -255,9 +274,12 @@
         return comparison
 
 
-def _get_share(trial: Trial, now: float) -> float:
+def _get_share(trial: Trial, entries: int, now: float) -> float:
+    """Return the share of the requests that the version on trial gets now."""
+    if trial.is_suspect or trial.doubted_at is not None:
+        limit = USUAL_SHARE * trial.requests + SUSPECT_REQUESTS / entries
+        return SUSPECT_SHARE if trial.tried < limit else USUAL_SHARE
     progress = trial.get_progress(now)
-    for until, share in TRIAL_SHARES:
-        if progress < until:
-            return share
-    return 1
+    if progress < USUAL_UNTIL:
+        return USUAL_SHARE
+    return RAISED_SHARE if progress < RAISED_UNTIL else 1
--- a/citronjunction/gateway/trials.py
+++ b/citronjunction/gateway/trials.py
@@ -108,6 +108,7 @@
             trial.release,
         )
         assessment = trial.detector.assess(rows)
+        trial.is_suspect = assessment.is_suspect
         is_doubtful = assessment.is_doubtful
         now = self.services.timers.now()
         if trial.record_doubt(is_doubtful=is_doubtful, now=now):
--- a/citronjunction/releases/evidence.py
+++ b/citronjunction/releases/evidence.py
@@ -39,10 +39,11 @@
 MIN_NULL_RATE = 0.05
 # Samples, and bad ones among them, that are assumed before any are known.
 PRIOR_FAILURES = (20, 0.5)
-PRIOR_SLOW = (20, 2.0)
+PRIOR_SLOW = (20, 1.0)
 MAX_NULL_RATE = 0.5
 MAX_BET_FRACTION = 0.95  # of the largest bet that keeps values positive
 HORIZON_REQUESTS = 2000  # requests that the false alarm rate covers
+SUSPICION = 3.0  # log evidence
 DOUBT = 0.5  # fraction of the threshold
 MIN_SECOND_WORKER_EVIDENCE = 2.0  # log evidence
 
@@ -263,7 +264,8 @@
 class Assessment:
     """Result of testing a version with the evidence of all entries.
 
-    ``is_doubtful`` means that the evidence is half of what a fault needs.
+    ``is_doubtful`` means that the evidence is half of what a fault needs,
+    ``is_suspect`` that more requests must show whether there is a fault.
     """
 
     is_bad: bool = False
@@ -271,6 +273,7 @@
     log_evidence: float = 0
     reason: str = ''
     is_doubtful: bool = False
+    is_suspect: bool = False
 
 
 class FaultDetector:
@@ -339,7 +342,10 @@
         )
         is_bad = is_shared and value >= threshold
         is_doubtful = value >= threshold * DOUBT
-        return Assessment(is_bad, samples, value, reason, is_doubtful)
+        is_suspect = value >= SUSPICION
+        return Assessment(
+            is_bad, samples, value, reason, is_doubtful, is_suspect
+        )
 
     def _update_log_evidence(
         self,
