--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -180,12 +180,11 @@
 
     def get_wait_s(self, worker: Worker, now: float) -> float:
         """Return the time until the end of a worker's pause and limit."""
-        start_key = worker.registration.start_key
-        return max(
-            0,
-            worker.paused_until - now,
-            self.limits.get_wait_s(start_key, now),
-        )
+        wait_s = max(0, worker.paused_until - now)
+        if self.limits.by_start:
+            start_key = worker.registration.start_key
+            wait_s = max(wait_s, self.limits.get_wait_s(start_key, now))
+        return wait_s
 
     def get_least_wait_s(self, upstream: str, now: float) -> float:
         """Return the time until the first worker that waits takes a request.
--- a/citronjunction/gateway/reach_checking.py
+++ b/citronjunction/gateway/reach_checking.py
@@ -104,13 +104,29 @@
         )
 
     def apply_report(self, fact: facts.LostUpstreams) -> None:
-        """Apply a peer's report, and check what it has lost."""
+        """Apply a peer's report, and check what it has lost.
+
+        A serving entry without requests would not notice that all workers are
+        down, and would be listed as the only one that reaches them.
+        """
         if fact.name == self.peers.own_name:
             return
         self.reach.apply_report(fact)
-        for upstream in fact.upstreams:
-            if upstream not in self.reach.lost:
-                self._check(upstream)
+        if not self.peers.roles.stands_by:
+            for upstream in fact.upstreams:
+                self._check_if_silent(upstream)
+
+    def _check_if_silent(self, upstream: str) -> None:
+        """Check an upstream if no worker has sent a byte for a while."""
+        now = self.services.timers.now()
+        workers = self.services.fleet.select(upstream)
+        heard_at = max((worker.heard_at for worker in workers), default=now)
+        checked_at = self.checked_at.get(upstream, 0)
+        is_due = now - checked_at > MIN_CHECK_INTERVAL_S
+        is_silent = now - heard_at > SILENCE_S
+        if is_due and is_silent and upstream not in self.reach.lost:
+            self.checked_at[upstream] = now
+            self._check(upstream)
 
     def _check(self, upstream: str) -> None:
         if upstream in self.rounds:
@@ -145,14 +161,8 @@
             for flow in self.services.flows
             if _is_waiting(flow.attempt, now)
         }
-        for upstream in waiting.difference(self.reach.lost):
-            workers = self.services.fleet.select(upstream)
-            heard_at = max((known.heard_at for known in workers), default=now)
-            is_silent = now - heard_at > SILENCE_S
-            checked_at = self.checked_at.get(upstream, 0)
-            if is_silent and now - checked_at > MIN_CHECK_INTERVAL_S:
-                self.checked_at[upstream] = now
-                self._check(upstream)
+        for upstream in waiting:
+            self._check_if_silent(upstream)
 
     def _lose(self, upstream: str, *, is_silent: bool) -> None:
         if upstream in self.reach.lost:
