--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -17,6 +17,7 @@
 MAX_UNSENT_BYTES = 8388608  # more unsent bytes close the connection
 MAX_IDLE_S = 8.0  # reuse limit if the server states none
 NO_REUSE_S = -1.0  # as ``max_idle_s``: always open a new connection
+MIN_CHECK_S = 0.001  # a shorter delay may be lost in rounding, without end
 IDLE_REUSE_SHARE = 0.7  # of the idle timeout that the server states
 BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
@@ -249,7 +250,9 @@
             self.loss_code = 'timeout'
             self.client.sockets.close(self.connection, reason)
             return
-        self.silence_timer = timers.call_later(left_s, self._check_silence)
+        self.silence_timer = timers.call_later(
+            max(left_s, MIN_CHECK_S), self._check_silence
+        )
 
     def _cancel_silence_timer(self) -> None:
         if self.silence_timer is not None:
