--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,13 +1,16 @@
 """Command line of the soak: runs seeds and prints violated invariants."""
 
+import multiprocessing
 import pathlib
 import tempfile
 import time
 from typing import Annotated
 
 import typer
+from absl import logging
 
 from soak import regressions, running
+from soak.virtual import playing
 
 app = typer.Typer(add_completion=False)
 LOGS = pathlib.Path('build') / 'soak'
@@ -51,6 +54,37 @@
     )
 
 
+@app.command()
+def search(
+    seed: Annotated[int, typer.Option(help='first seed')] = 1,
+    runs: Annotated[int, typer.Option(help='number of seeds to run')] = 100,
+    entries: Annotated[int, typer.Option(help='number of gateways')] = 5,
+    seconds: Annotated[
+        float, typer.Option(help='duration of the fault phase')
+    ] = 30.0,
+    jobs: Annotated[int, typer.Option(help='processes to use')] = 4,
+) -> None:
+    """Run consecutive seeds in virtual time; a seed always plays the same."""
+    logging.set_verbosity(logging.ERROR)
+    plans = [
+        playing.Plan(number, entries, seconds)
+        for number in range(seed, seed + runs)
+    ]
+    failures = 0
+    with multiprocessing.Pool(jobs) as pool:
+        for summary, is_violated in pool.imap(play_plan, plans):
+            failures += is_violated
+            typer.echo(summary)
+    typer.echo(f'{failures} of {runs} seeds violate an invariant')
+    raise typer.Exit(1 if failures else 0)
+
+
+def play_plan(plan: playing.Plan) -> tuple[str, bool]:
+    """Play a plan; return its summary and whether it violates an invariant."""
+    report = playing.play(plan)
+    return report.summarise(), bool(report.violations)
+
+
 def run_plans(plans: list[running.Plan]) -> None:
     """Run plans one after another; exit with status 1 if any fails."""
     failures = 0
--- /dev/null
+++ b/soak/virtual/history.py
@@ -0,0 +1,104 @@
+"""What callers and workers saw in a run; times are in seconds of the run."""
+
+import dataclasses
+
+OK = 200  # HTTP status
+STABLE_S = 3.0  # without disturbance, until bounds apply to an entry
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One attempt of a caller; ``status`` is 0 without an answer.
+
+    ``entry`` got it, ``origin`` is the name of the caller's first attempt,
+    ``may_repeat`` means that it may run more than once.
+    """
+
+    name: str
+    origin: str
+    path_prefix: str
+    is_stream: bool
+    may_repeat: bool
+    entry: str
+    sent_at: float
+    deadline_s: float
+    status: int = 0
+    is_not_run: bool = False
+    is_complete: bool = False
+    body: bytes = b''
+    signature: str = ''
+    ended_at: float | None = None
+
+    @property
+    def is_first_try(self) -> bool:
+        """Return whether this is the caller's first attempt."""
+        return self.name == self.origin
+
+    @property
+    def is_served(self) -> bool:
+        """Return whether the caller got a whole, successful answer."""
+        return self.status == OK and self.is_complete
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Arrival:
+    """A request that reached a worker from an entry."""
+
+    request: str
+    worker: str
+    entry: str
+    at: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Notice:
+    """What a worker named in an answer to an entry."""
+
+    worker: str
+    entry: str
+    at: float
+    limit_per_s: float | None
+    is_leaving: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Span:
+    """A time in which something holds for entries or workers."""
+
+    names: frozenset[str]
+    started_at: float
+    ended_at: float
+
+    def binds(self, at: float) -> bool:
+        """Return whether bounds that hold after ``STABLE_S`` hold at a time."""
+        return self.started_at + STABLE_S <= at < self.ended_at
+
+
+@dataclasses.dataclass(slots=True)
+class History:
+    """The record of a run.
+
+    ``disturbances`` are those of entries that excuse them, ``cuts`` the times in
+    which entries reached no worker, ``limits`` and ``brittle`` those in which
+    workers named a limit or said that they were brittle. ``runs`` are the runs
+    of requests by worker, ``falls`` when brittle workers fell over.
+    """
+
+    requests: list[Request] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    runs: list[Arrival] = dataclasses.field(default_factory=list)
+    notices: list[Notice] = dataclasses.field(default_factory=list)
+    disturbances: list[Span] = dataclasses.field(default_factory=list)
+    cuts: list[Span] = dataclasses.field(default_factory=list)
+    limits: list[tuple[float, Span]] = dataclasses.field(default_factory=list)
+    brittle: list[Span] = dataclasses.field(default_factory=list)
+    falls: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+
+    def is_in_touch(self, entry: str, at: float, until: float = 0) -> bool:
+        """Return whether an entry was undisturbed up to a time or a span."""
+        return not any(
+            entry in span.names
+            and span.started_at <= max(at, until)
+            and at - STABLE_S < span.ended_at
+            for span in self.disturbances
+        )
--- /dev/null
+++ b/soak/virtual/playing.py
@@ -0,0 +1,88 @@
+"""Play of a draw on gateways, workers and callers in virtual time."""
+
+import dataclasses
+import functools
+
+from citronjunction.conf import models as conf
+from citronjunction.transport import sockets
+from soak.virtual import callers, drawing, history, injecting, rules
+from tests.support import platform_system
+
+MS_PER_S = 1000
+TICK_S = 0.02
+WORKERS = 4  # of each upstream
+SETTLE_S = 8.0  # after the last fault
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Plan:
+    """A run: faults begin within ``seconds``."""
+
+    seed: int
+    entries: int = 5
+    seconds: float = 30.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Report:
+    """Result of a run."""
+
+    plan: Plan
+    faults: list[drawing.Fault]
+    record: history.History
+    violations: list[str]
+
+    def summarise(self) -> str:
+        """Return a summary, with the faults if an invariant was violated."""
+        tries = [each for each in self.record.requests if each.is_first_try]
+        served = sum(each.is_served for each in tries)
+        lines = [
+            f'seed {self.plan.seed}: {len(self.faults)} faults, {served} of'
+            f' {len(tries)} first tries served,'
+            f' {len(self.violations)} invariants violated',
+        ]
+        if self.violations:
+            lines.extend(f'  {fault}' for fault in self.faults)
+            lines.extend(f'  violated: {text}' for text in self.violations)
+        return '\n'.join(lines)
+
+
+class LinkedSystem(platform_system.PlatformSystem):
+    """Link gateways as the users' platform does (``deploy/node.ini``)."""
+
+    def configure_settings(self, settings: conf.Settings) -> None:
+        """Set the number of peer links and of serving entries."""
+        settings.membership.links = 6
+        settings.membership.serving = 8
+
+
+def build(plan: Plan) -> platform_system.PlatformSystem:
+    """Start the gateways and workers of a run."""
+    deployed = LinkedSystem(plan.seed)
+    deployed.world.user_timeout_s = sockets.USER_TIMEOUT_MS / MS_PER_S
+    deployed.build(workers=WORKERS, gateways=plan.entries)
+    for worker in deployed.workers.values():
+        injecting.prepare(worker)
+    return deployed
+
+
+def play(plan: Plan) -> Report:
+    """Play a seed and judge what was seen."""
+    deployed = build(plan)
+    record = history.History()
+    traffic = callers.Traffic(deployed, record)
+    injector = injecting.Injector(deployed, record, traffic)
+    faults = drawing.draw(plan.seed, plan.seconds)
+    for fault in faults:
+        deployed.caller_host.timers.call_later(
+            fault.starts_at,
+            functools.partial(injector.inject, fault),
+        )
+    end = deployed.world.now + plan.seconds + SETTLE_S
+    while deployed.world.now < end:
+        traffic.send_due()
+        deployed.world.run(TICK_S)
+    traffic.is_ending = True
+    deployed.world.run(SETTLE_S)
+    injector.finish()
+    return Report(plan, faults, record, rules.check(record))
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -161,6 +161,7 @@
     def __init__(self, seed=0):
         self.world = virtual.World(seed)
         self.ids = itertools.count(1)
+        self.last_number = 0
         self.workers = {}
         self.worker_hosts = {}
         self.gateways = {}
@@ -185,7 +186,7 @@
         self.store.put('config', 'main', self.configuration)
 
     def add_worker(self, name, service, zone='z1', version='v1', **fields):
-        number = len(self.world.hosts)
+        number = self._number_host()
         host = self.world.add_host(name)
         worker = platform_worker.PlatformWorker(host, name)
         address = f'10.8.0.{number}'
@@ -210,7 +211,7 @@
         """Change the settings of a gateway in a subclass; do nothing here."""
 
     def add_gateway(self, name, zone='z1'):
-        number = len(self.world.hosts)
+        number = self._number_host()
         address = f'10.1.0.{number}'
         settings = conf.Settings()
         settings.process.name = name
@@ -297,6 +298,11 @@
             for run in worker.runs
         )
 
+    def _number_host(self):
+        """Return a number that no host had, also not an earlier one."""
+        self.last_number = max(self.last_number + 1, len(self.world.hosts))
+        return self.last_number
+
     def _serve(self, host, app, port):
         server = http_server.HttpServer(
             host.sockets, host.timers, conf.Http(), app
