Probe a lost upstream at one rate however often it is lost

Each loss began a chain of probes of its own if the last one had ended before its timer; a link that flaps would be probed more and more often.

--- a/citronjunction/gateway/reach_checking.py
+++ b/citronjunction/gateway/reach_checking.py
@@ -67,6 +67,7 @@
         self.reach = services.reach
         self.rounds: dict[str, Round] = {}
         self.checked_at: dict[str, float] = {}
+        self.is_probing = False
 
     def start(self) -> None:
         """Start to look for silent connections at intervals."""
@@ -167,7 +168,6 @@
     def _lose(self, upstream: str, *, is_silent: bool) -> None:
         if upstream in self.reach.lost:
             return
-        is_probing = bool(self.reach.lost)
         self.reach.lost.add(upstream)
         self.services.log.write(
             'upstream unreachable',
@@ -182,8 +182,7 @@
         for other in self.services.fleet.by_upstream:
             if other not in self.reach.lost:
                 self._check(other)
-        if not is_probing:
-            self._probe_later()
+        self._probe_later()
 
     def _abandon(self, upstream: str) -> None:
         """Give up the connections of an upstream that are silent, too."""
@@ -193,9 +192,12 @@
             flow.on_upstream_lost(upstream)
 
     def _probe_later(self) -> None:
-        self.services.timers.call_later(PROBE_INTERVAL_S, self._probe)
+        if not self.is_probing:
+            self.is_probing = True
+            self.services.timers.call_later(PROBE_INTERVAL_S, self._probe)
 
     def _probe(self) -> None:
+        self.is_probing = False
         for upstream in tuple(self.reach.lost):
             workers = self._select(upstream)
             if not workers:
--- a/tests/gateway/test_cut_off_entries.py
+++ b/tests/gateway/test_cut_off_entries.py
@@ -223,3 +223,19 @@
     answer = deployed.ask('/safe/x', organisation='nobody')
 
     assert answer.status == 401
+
+
+# Guards against a chain of probes for each time that an upstream was lost.
+def test_a_link_that_fails_again_and_again_is_probed_at_one_rate(deployed):
+    checker = deployed.gateways['gateway-0'].peer_exchange.reach_checker
+    probes = []
+    probe = checker._probe
+    checker._probe = lambda: (probes.append(deployed.world.now), probe())
+    for _ in range(5):
+        checker._lose('app', is_silent=False)
+        checker.on_connected('app')
+    checker._lose('app', is_silent=False)
+    cut(deployed, Cut.refused, 'gateway-0')
+    deployed.world.run(3)
+
+    assert 5 <= len(probes) <= 6
