--- a/citronjunction/platform/upstream_calls.py
+++ b/citronjunction/platform/upstream_calls.py
@@ -34,18 +34,7 @@
         headers[names.LAST_EVENT] = assignment.last_event
     if assignment.kv_source:
         headers[names.KV_SOURCE] = assignment.kv_source
-    return http_client.Call(
-        assignment.address,
-        request.method,
-        request.target,
-        headers,
-        request.body,
-        connect_s=assignment.connect_s,
-        silence_s=assignment.deadline_s + RESPONSE_MARGIN_S,
-        max_idle_s=assignment.max_idle_s,
-        host=request.host,
-        echo=http_client.Echo(ECHO_HEADER, request.name),
-    )
+    return _build_call(request, headers, assignment)
 
 
 def encode_forwarded(
@@ -60,15 +49,23 @@
         headers[names.AUTHORIZATION] = f'{names.BEARER_PREFIX}{request.key}'
     if forwarding.last_event:
         headers[names.LAST_EVENT] = forwarding.last_event
+    return _build_call(request, headers, forwarding)
+
+
+def _build_call(
+    request: models.CallerRequest,
+    headers: abc.Mapping[str, str],
+    destination: models.Assignment | models.Forwarding,
+) -> http_client.Call:
     return http_client.Call(
-        forwarding.address,
+        destination.address,
         request.method,
         request.target,
         headers,
         request.body,
-        connect_s=forwarding.connect_s,
-        silence_s=forwarding.deadline_s + RESPONSE_MARGIN_S,
-        max_idle_s=forwarding.max_idle_s,
+        connect_s=destination.connect_s,
+        silence_s=destination.deadline_s + RESPONSE_MARGIN_S,
+        max_idle_s=destination.max_idle_s,
         host=request.host,
         echo=http_client.Echo(ECHO_HEADER, request.name),
     )
