Link groups of entries again after a partition between them

Two or more entries that were cut off together stayed a fleet of their own for good: they kept links to each other, and an entry dialled those it had lost only while it had no link at all. Quotas and limits of workers were then divided between two fleets, and an entry that reaches no worker found no peer that does.

Each second one lost entry is dialled besides, each at most every 5 s until it is forgotten; facts are exchanged over the first link, and the usual choice follows.

--- a/citronjunction/peering/node.py
+++ b/citronjunction/peering/node.py
@@ -139,7 +139,9 @@
             if node.name not in self.open_links
             or node.peer_address in self.outbound
         ]
-        if not self.open_links:
+        if self.open_links:
+            targets.extend(self._choose_lost_targets(nodes))
+        else:
             targets.extend(self._choose_recovery_targets())
         return targets
 
@@ -219,6 +221,18 @@
         count = min(RECOVERY_DIALS, len(known))
         return [*targets, *self.loop.random.sample(known, count)]
 
+    def _choose_lost_targets(self, live: abc.Container[str]) -> list[str]:
+        """Return an entry that was lost, which may be linked to others."""
+        now = self.loop.timers.now()
+        lost = [
+            observed.state.peer_address
+            for name, observed in self.liveness.observed_entries.items()
+            if name not in live
+            and not observed.state.is_leaving
+            and self.unreachable.get(observed.state.peer_address, 0) <= now
+        ]
+        return [self.loop.random.choice(lost)] if lost else []
+
     def _choose_links(
         self,
         own: topology.Node,
