--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -35,7 +35,7 @@
         )
         if leaving is not None:
             services.observer.on_worker_leaving(leaving)
-    if _is_from(worker, answer):
+    if _is_from_worker(answer):
         services.observer.on_worker_answer(worker, answer, source.sent_at)
     if answer.retry_after_s is not None:
         until = services.timers.now() + answer.retry_after_s
@@ -48,11 +48,10 @@
         )
 
 
-def _is_from(worker: fleet.Worker, answer: models.AnswerHead) -> bool:
+def _is_from_worker(answer: models.AnswerHead) -> bool:
     """Return whether an answer certainly comes from the assigned worker."""
-    if answer.is_misdirected:
-        return False
-    return answer.is_authentic or answer.is_refused
+    is_stated = answer.is_authentic or answer.is_refused
+    return is_stated and not answer.is_misdirected
 
 
 def record_answer(
