One bound on remembered starts, one connect timeout, one linked test system

The bound on departed and leaving workers serves constraints, too; checks of workers use the connect timeout of requests; the test of healed partitions and the soak share the system that links gateways as the platform does. In the soak an unused parameter is gone and delays are scheduled in one way.

--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -3,14 +3,19 @@
 import dataclasses
 from collections import abc
 
-from citronjunction.gateway import brittleness, health, limits, models
+from citronjunction.gateway import (
+    brittleness,
+    constraints,
+    health,
+    limits,
+    models,
+)
 
 # Time for which a worker is still used after its registration vanished; must
 # stay below the time within which a draining worker has to be out of use.
 ABSENT_GRACE_S = 1.4
 # Time after a store outage in which lapsed registrations may return.
 OUTAGE_GRACE_S = 2.2
-MAX_REMEMBERED = 2000  # departed or leaving workers
 URGENCY_GROUPS = 3  # rank 0, rank 1 and all other ranks
 
 
@@ -152,7 +157,7 @@
         if self.leaving.get(name, -1) < started_at_ms:
             self.leaving.pop(name, None)
             self.leaving[name] = started_at_ms
-            _limit(self.leaving)
+            constraints.forget_oldest(self.leaving)
         worker = self.workers.get(name)
         if worker is None or worker.is_leaving:
             return None
@@ -223,7 +228,7 @@
         self.departures[name] = Departure(
             worker.registration.started_at_ms, now, is_final
         )
-        _limit(self.departures)
+        constraints.forget_oldest(self.departures)
 
     def find_departure(
         self, registration: models.WorkerRegistration
@@ -307,11 +312,6 @@
             self.by_upstream.setdefault(upstream, []).append(worker)
 
 
-def _limit(remembered: dict[str, object]) -> None:
-    while len(remembered) > MAX_REMEMBERED:
-        remembered.pop(next(iter(remembered)))
-
-
 def _is_start_leaving(
     leaving: abc.Mapping[str, int],
     registration: models.WorkerRegistration,
--- a/citronjunction/gateway/forwarding.py
+++ b/citronjunction/gateway/forwarding.py
@@ -118,13 +118,13 @@
             or known.registration.started_at_ms != entry.incarnation
         ):
             known = fleet.Worker(
-                build_registration(entry), health.Health(), is_peer=True
+                _build_registration(entry), health.Health(), is_peer=True
             )
             self.peers[entry.name] = known
         return known
 
 
-def build_registration(
+def _build_registration(
     entry: facts.EntryState,
 ) -> models.WorkerRegistration:
     """Return a peer in the form of a worker's registration."""
--- a/citronjunction/gateway/reach_checking.py
+++ b/citronjunction/gateway/reach_checking.py
@@ -6,6 +6,7 @@
 
 from citronjunction.duties import clock
 from citronjunction.gateway import (
+    assigning,
     attempt,
     connection_checks,
     context,
@@ -19,7 +20,6 @@
 if TYPE_CHECKING:
     from citronjunction.gateway import flow
 
-CONNECT_S = 0.3  # a worker accepts within milliseconds
 MAX_CHECKS = 8  # workers of an upstream that are checked at once
 PROBES = 2  # workers of a lost upstream that are checked at an interval
 PROBE_INTERVAL_S = 0.5
@@ -228,7 +228,7 @@
         on_result: abc.Callable[[connection_checks.Result], None],
     ) -> None:
         connection_checks.ConnectionCheck(
-            self.peers.loop.sockets, CONNECT_S, on_result
+            self.peers.loop.sockets, assigning.CONNECT_S, on_result
         ).start(worker.registration.address)
 
     def _select(self, upstream: str) -> list[fleet.Worker]:
--- a/soak/virtual/injecting.py
+++ b/soak/virtual/injecting.py
@@ -68,13 +68,12 @@
         behaviour = self.deployed.workers[name].behaviour
         match fault.kind:
             case drawing.Kind.worker_killed:
-                self._replace_worker(name, fault)
+                self._replace_worker(name)
             case drawing.Kind.worker_leaves:
                 behaviour.is_leaving = True
-                self.world.schedule(
-                    self.world.now + LEAVES_AFTER_S,
-                    self.deployed.caller_host,
-                    functools.partial(self._replace_worker, name, fault),
+                self.deployed.caller_host.timers.call_later(
+                    LEAVES_AFTER_S,
+                    functools.partial(self._replace_worker, name),
                 )
             case drawing.Kind.worker_silent:
                 self.deployed.worker_hosts[name].pause(SILENCE_S)
@@ -141,13 +140,11 @@
             return
         host.kill()
         self._disturb(name, RESTART_S)
-        self.world.schedule(
-            self.world.now + RESTART_S,
-            self.deployed.caller_host,
-            lambda: self.deployed.add_gateway(name),
+        self.deployed.caller_host.timers.call_later(
+            RESTART_S, lambda: self.deployed.add_gateway(name)
         )
 
-    def _replace_worker(self, name: str, fault: drawing.Fault) -> None:
+    def _replace_worker(self, name: str) -> None:
         host = self.deployed.worker_hosts[name]
         if not host.is_alive:
             return
@@ -210,9 +207,7 @@
     def _later(
         self, fault: drawing.Fault, call: abc.Callable[[], None]
     ) -> None:
-        self.world.schedule(
-            self.world.now + fault.duration_s, self.deployed.caller_host, call
-        )
+        self.deployed.caller_host.timers.call_later(fault.duration_s, call)
 
     def _observe(self, worker: platform_worker.PlatformWorker) -> None:
         partial = functools.partial
--- a/soak/virtual/playing.py
+++ b/soak/virtual/playing.py
@@ -3,7 +3,6 @@
 import dataclasses
 import functools
 
-from citronjunction.conf import models as conf
 from citronjunction.transport import sockets
 from soak.virtual import callers, drawing, history, injecting, rules
 from tests.support import platform_system
@@ -47,18 +46,9 @@
         return '\n'.join(lines)
 
 
-class LinkedSystem(platform_system.PlatformSystem):
-    """Link gateways as the users' platform does (``deploy/node.ini``)."""
-
-    def configure_settings(self, settings: conf.Settings) -> None:
-        """Set the number of peer links and of serving entries."""
-        settings.membership.links = 6
-        settings.membership.serving = 8
-
-
 def build(plan: Plan) -> platform_system.PlatformSystem:
     """Start the gateways and workers of a run."""
-    deployed = LinkedSystem(plan.seed)
+    deployed = platform_system.LinkedSystem(plan.seed)
     deployed.world.user_timeout_s = sockets.USER_TIMEOUT_MS / MS_PER_S
     deployed.build(workers=WORKERS, gateways=plan.entries)
     for worker in deployed.workers.values():
--- a/soak/virtual/rules.py
+++ b/soak/virtual/rules.py
@@ -9,7 +9,7 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_TOLERANCE = 1.5
 LIMIT_SLACK = 5  # requests in a window
-NOTICE_S = 0.5  # until an entry counts as told
+NOTICE_S = 0.5  # until an entry counts as informed
 FALLS_SLACK = 2
 FALLS_SHARE = 0.1  # of the workers
 CUT_SHARE = 2 / 3  # of the share served elsewhere
@@ -38,12 +38,12 @@
     """Yield windows with more requests than a worker takes from all entries."""
     for limit, span in record.limits:
         worker = next(iter(span.names))
-        told_at = _find_told(record, worker, span)
+        informed_at = _find_informed(record, worker, span)
         counted = sorted(
             arrival.at
             for arrival in record.arrivals
             if arrival.worker == worker
-            and arrival.at >= told_at.get(arrival.entry, float('inf'))
+            and arrival.at >= informed_at.get(arrival.entry, float('inf'))
             and span.binds(arrival.at)
             and record.is_in_touch(arrival.entry, arrival.at)
         )
@@ -121,14 +121,16 @@
 
 def check_drain(record: history.History) -> abc.Iterator[str]:
     """Yield requests to workers that said long before that they leave."""
-    told_at: dict[tuple[str, str], float] = {}
+    informed_at: dict[tuple[str, str], float] = {}
     for notice in record.notices:
         if notice.is_leaving:
-            told_at.setdefault((notice.worker, notice.entry), notice.at)
+            informed_at.setdefault((notice.worker, notice.entry), notice.at)
     sent_at = {request.name: request.sent_at for request in record.requests}
     for arrival in record.arrivals:
-        told = told_at.get((arrival.worker, arrival.entry), float('inf'))
-        if sent_at.get(arrival.request, 0) > told + DRAIN_S:
+        informed = informed_at.get(
+            (arrival.worker, arrival.entry), float('inf')
+        )
+        if sent_at.get(arrival.request, 0) > informed + DRAIN_S:
             yield f'{arrival.request} reached {arrival.worker}'
 
 
@@ -177,15 +179,15 @@
     return any(not _is_cut(record, entry, at) for entry in entries)
 
 
-def _find_told(
+def _find_informed(
     record: history.History, worker: str, span: history.Span
 ) -> dict[str, float]:
-    told_at: dict[str, float] = {}
+    informed_at: dict[str, float] = {}
     for notice in record.notices:
         is_meant = notice.worker == worker and notice.limit_per_s is not None
         if is_meant and notice.at >= span.started_at:
-            told_at.setdefault(notice.entry, notice.at + NOTICE_S)
-    return told_at
+            informed_at.setdefault(notice.entry, notice.at + NOTICE_S)
+    return informed_at
 
 
 def _count_worst(times: list[float], window_s: float) -> int:
--- a/tests/gateway/test_healed_partitions.py
+++ b/tests/gateway/test_healed_partitions.py
@@ -5,13 +5,6 @@
 from tests.support import platform_system
 
 
-class LinkedSystem(platform_system.PlatformSystem):
-    """Link entries as the users' platform does."""
-
-    def configure_settings(self, settings):
-        settings.membership.links = 6
-
-
 def list_live(gateway):
     now = gateway.loop.timers.now()
     return {state.name for state in gateway.peers.liveness.select_live(now)}
@@ -21,7 +14,7 @@
 # divided among entries that all serve.
 @pytest.mark.parametrize('size', [1, 2])
 def test_a_group_that_was_cut_off_is_linked_again_soon(size):
-    deployed = LinkedSystem().build(gateways=5)
+    deployed = platform_system.LinkedSystem().build(gateways=5)
     names = list(deployed.gateways)
     deployed.world.partition(names[:size], names[size:])
     deployed.world.run(8)
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -308,3 +308,12 @@
             host.sockets, host.timers, conf.Http(), app
         )
         server.listen(PLATFORM, port)
+
+
+class LinkedSystem(PlatformSystem):
+    """Link gateways as the users' platform does (``deploy/node.ini``)."""
+
+    def configure_settings(self, settings):
+        """Set the number of peer links and of serving entries."""
+        settings.membership.links = 6
+        settings.membership.serving = 8
