Log what is known of the quotas

The lines could not tell which use an entry missed. No decision changes; names in quotas.py that the log reads lost their underscore.

--- a/citronjunction/duties/checkpoint.py
+++ b/citronjunction/duties/checkpoint.py
@@ -8,6 +8,7 @@
 
 from citronjunction.duties import clock, usage
 from citronjunction.gateway import quotas
+from citronjunction.observability import decisions
 from citronjunction.store import eras, records
 from citronjunction.transport import timer_queue
 
@@ -15,6 +16,7 @@
 NAME = 'use'
 WRITE_INTERVAL_S = 1.0  # bounds the use that is lost if all entries end
 READ_RETRY_S = 0.5  # delay of the next read while the store is unavailable
+MAX_LOGGED = 24  # organisations in a log line, those with the highest use
 
 
 class Checkpoint:
@@ -27,6 +29,7 @@
         'is_certified',
         'is_read',
         'ledger',
+        'log',
         'quotas',
         'revision',
         'store',
@@ -43,6 +46,7 @@
         steady_clock: clock.SteadyClock,
         ledger: usage.UsageLedger,
         limits: quotas.Quotas,
+        log: decisions.DecisionLog,
     ) -> None:
         self.store = store
         self.timers = timers
@@ -50,6 +54,7 @@
         self.ledger = ledger
         self.quotas = limits
         self.eras = store_eras
+        self.log = log
         self.has_pending_call = False
         self.invalidate()
         store_eras.subscribe(self.invalidate)
@@ -110,17 +115,35 @@
     def _on_start_read(self, result: records.ReadResult) -> None:
         match result:
             case records.Record(spec=spec):
+                age_s = max(0, self.clock.now() - spec.get('at', 0))
                 self.quotas.restore(
                     spec.get('used') or {},
-                    max(0, self.clock.now() - spec.get('at', 0)),
+                    age_s,
                     self.timers.now(),
                     is_complete=self._is_current(spec),
                 )
+                self._log_restored(age_s, is_complete=self._is_current(spec))
             case records.Absent():
                 self.quotas.is_past_use_known = True
+                self.log.write('quota restored', NAME, is_absent=True)
             case records.Unavailable():
                 self.timers.call_later(READ_RETRY_S, self.start)
 
+    def _log_restored(self, age_s: float, *, is_complete: bool) -> None:
+        now = self.timers.now()
+        used = {
+            name: past.measure(now)
+            for name, past in self.quotas.past_sums.items()
+        }
+        by_use = sorted(used.items(), key=lambda item: -item[1])
+        self.log.write(
+            'quota restored',
+            NAME,
+            age_s=round(age_s, 3),
+            is_complete=is_complete,
+            used=dict(by_use[:MAX_LOGGED]),
+        )
+
     def _on_read(self, result: records.ReadResult) -> None:
         self.has_pending_call = False
         match result:
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -21,6 +21,7 @@
     forwarding,
     peer_exchange,
     ports,
+    quota_logging,
     relocation,
     stopping,
     watching,
@@ -77,6 +78,7 @@
         )
         self.events = worker_events.WorkerEvents(self)
         self.services = assembling.build_services(self, adapter.codec)
+        self.quota_log = quota_logging.QuotaLog(self.log, self.services.quotas)
         self.checkpoint = checkpoint.Checkpoint(
             adapter.store,
             self.eras,
@@ -84,6 +86,7 @@
             self.clock,
             self.ledger,
             self.services.quotas,
+            self.log,
         )
         self.peers = node.PeerNode(loop, settings, self.name, self)
         self.watcher = watching.Watcher(
@@ -170,6 +173,7 @@
             ),
         )
         timers.call_every(EXPIRE_INTERVAL_S, self.sharing.expire)
+        timers.call_every(quota_logging.INTERVAL_S, self._log_quotas)
         timers.call_later(counting.LOAD_DELAY_S, self.services.counts.load)
         self.loop.on_stop = self.stopper.stop
         self.log.write('start', self.name, zone=self.settings.process.zone)
@@ -241,6 +245,13 @@
         )
         return min(len(list(live)), serving)
 
+    def _log_quotas(self) -> None:
+        configuration = self.services.configuration
+        if configuration is not None:
+            self.quota_log.log_high_use(
+                configuration.organisations.values(), self.loop.timers.now()
+            )
+
     def _has_silent_peer(self) -> bool:
         return self.services.quotas.has_silent_peer(self.loop.timers.now())
 
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -36,6 +36,10 @@
     """Ignore the call until a callback is set."""
 
 
+def _ignore_refusal(*refusal: object) -> None:
+    """Ignore a refusal until a callback is set."""
+
+
 def _get_zero() -> int:
     """Return 0 until a callback is set."""
     return 0
@@ -118,6 +122,7 @@
     __slots__ = (
         'count_live',
         'is_past_use_known',
+        'on_refusal',
         'on_unreported_use',
         'past_sums',
         'peers',
@@ -143,6 +148,10 @@
         # Returns the number of live entries that may serve callers.
         self.count_live: abc.Callable[[], int] = _get_zero
         self.on_unreported_use: abc.Callable[[], None] = _do_nothing
+        # Receives the organisation, the cost and the time.
+        self.on_refusal: abc.Callable[
+            [models.Organisation, float, float], None
+        ] = _ignore_refusal
 
     def admit(
         self,
@@ -155,12 +164,13 @@
         name = organisation.name
         known_use = self._get_sum(name)
         if quota.rate_per_s > 0:
-            limit = self._get_limit(organisation, now)
+            limit = self.get_limit(organisation, now)
             used = known_use.measure(now)
             excess = used + cost - limit
             # A request larger than the limit is admitted if the window is
             # unused. Otherwise it could never run.
             if excess > 0 and used > 0:
+                self.on_refusal(organisation, cost, now)
                 return QuotaExceeded(
                     known_use.get_wait_s(excess, now), used, limit
                 )
@@ -249,12 +259,12 @@
             is_expected = not peer.is_leaving
             if is_expected and now - peer.reported_at <= SILENT_PEER_RESERVE_S:
                 continue
-            if _is_silent(peer, now):
+            if is_silent(peer, now):
                 self.peers.pop(name)
 
     def has_silent_peer(self, now: float) -> bool:
         """Return whether a peer that may still serve has stopped reporting."""
-        return any(_is_silent(peer, now) for peer in self.peers.values())
+        return any(is_silent(peer, now) for peer in self.peers.values())
 
     def count_entries(self) -> int:
         """Return the number of entries that may serve, including this one."""
@@ -278,11 +288,11 @@
     ) -> None:
         unreported = self.unreported.get(organisation.name, 0) + cost
         self.unreported[organisation.name] = unreported
-        window_limit = _compute_window_limit(organisation, self.window_s)
+        window_limit = compute_window_limit(organisation, self.window_s)
         if window_limit and unreported > UNREPORTED_SHARE * window_limit:
             self.on_unreported_use()
 
-    def _get_limit(
+    def get_limit(
         self,
         organisation: models.Organisation,
         now: float,
@@ -292,8 +302,8 @@
         The use before the start is known for all entries. Only the rest of
         the quota is divided among them.
         """
-        window_limit = _compute_window_limit(organisation, self.window_s)
-        share = self._get_share(now)
+        window_limit = compute_window_limit(organisation, self.window_s)
+        share = self.get_share(now)
         past_sum = self.past_sums.get(organisation.name)
         past_use = 0 if past_sum is None else past_sum.measure(now)
         return share * window_limit + (1 - share) * past_use
@@ -311,12 +321,12 @@
             entries = max(entries, live)
             min_reports = START_REPORTS
         reporting = sum(
-            peer.report_count >= min_reports and not _is_silent(peer, now)
+            peer.report_count >= min_reports and not is_silent(peer, now)
             for peer in self.peers.values()
         )
         return (1 + reporting) / entries
 
-    def _get_share(self, now: float) -> float:
+    def get_share(self, now: float) -> float:
         """Return the share of a quota that may be used."""
         share = self.measure_known_share(now)
         is_in_first_window = now - self.started_at < self.window_s
@@ -327,7 +337,7 @@
         )
 
 
-def _compute_window_limit(
+def compute_window_limit(
     organisation: models.Organisation, window_s: float
 ) -> float:
     """Return the use that a window allows; 0 means no limit."""
@@ -337,7 +347,7 @@
     return quota.rate_per_s * window_s + quota.burst
 
 
-def _is_silent(peer: PeerUse, now: float) -> bool:
+def is_silent(peer: PeerUse, now: float) -> bool:
     return now - peer.reported_at > SILENT_INTERVALS * peer.period_s
 
 
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -17,6 +17,7 @@
 # describe the current queue.
 MAX_LOAD_AGE_S = 0.75
 LOST_INTERVALS = 4  # missed reports until a peer's load is dropped
+MAX_LOGGED = 24  # organisations in a log line, those with the highest use
 
 
 class Sharing:
@@ -107,6 +108,7 @@
         if fact.name == self.peers.own_name:
             return
         now = self.services.timers.now()
+        self._log_first_report(fact, now)
         self.loads[fact.name] = fact
         self.received_at[fact.name] = now
         self.services.quotas.record_report(
@@ -119,6 +121,22 @@
         self.ledger.merge_report(fact.name, fact.incarnation, fact.windows)
         self._merge_loads(now)
 
+    def _log_first_report(self, fact: facts.LoadState, now: float) -> None:
+        """Log the use that a peer reports first after its start."""
+        known = self.services.quotas.peers.get(fact.name)
+        if known is not None and known.incarnation == fact.incarnation:
+            return
+        by_use = sorted(fact.used.items(), key=lambda used: -used[1])
+        self.services.log.write(
+            'first report',
+            fact.name,
+            incarnation=fact.incarnation,
+            sequence=fact.sequence,
+            is_known=known is not None,
+            used=dict(by_use[:MAX_LOGGED]),
+            known_share=self.services.quotas.measure_known_share(now),
+        )
+
     def _get_peer_period_s(self, fact: facts.LoadState) -> float:
         """Return the longest time until a peer's next report arrives."""
         roles = self.peers.roles
