Soak in virtual time: quotas over sliding windows, outages of entries and store

Three organisations have quotas in tokens and one asks for 1.2, 2 or 6 times its limit for a while. What workers ran is summed over all windows of 8 s: each run, each attempt once, and each attempt once where it was also sent in the window; allowed is the limit x 1.1, in faulty runs x 1.3. New kinds are drawn with the others: entries lost and replaced under new names (the holder of the duties, too), all killed, frozen, stopped by SIGTERM, the store down, slow or losing answers, workers that lose answers, quotas that rise and fall. A lower quota binds a window after all entries and the store have been undisturbed 2 s past it. `python -m soak quotas` shows which share of its limit an organisation gets in each window, calm or with a third of the entries disturbed.

New kinds change what a seed draws. `--only` plays some faults of a seed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,7 @@
 from absl import logging
 
 from soak import regressions, running
-from soak.virtual import playing
+from soak.virtual import drawing, playing, served
 
 app = typer.Typer(add_completion=False)
 HASH_SEED = 'PYTHONHASHSEED'
@@ -66,12 +66,19 @@
         float, typer.Option(help='duration of the fault phase')
     ] = 30.0,
     jobs: Annotated[int, typer.Option(help='processes to use')] = 4,
+    draw: Annotated[
+        int, typer.Option(help='version of the draw of faults')
+    ] = drawing.CURRENT,
+    only: Annotated[
+        str, typer.Option(help='positions of the faults to play, from 0')
+    ] = '',
 ) -> None:
     """Run consecutive seeds in virtual time; a seed always plays the same."""
     fix_hash_seed()
     logging.set_verbosity(logging.ERROR)
+    chosen = tuple(int(number) for number in only.split(',') if number)
     plans = [
-        playing.Plan(number, entries, seconds)
+        playing.Plan(number, entries, seconds, draw, only=chosen)
         for number in range(seed, seed + runs)
     ]
     failures = 0
@@ -83,6 +90,30 @@
     raise typer.Exit(1 if failures else 0)
 
 
+@app.command()
+def quotas(
+    seed: Annotated[int, typer.Option(help='seed of the run')] = 1,
+    entries: Annotated[int, typer.Option(help='number of gateways')] = 7,
+    factor: Annotated[
+        float, typer.Option(help='what is asked, in multiples of the limit')
+    ] = 2.0,
+    seconds: Annotated[float, typer.Option(help='duration of the run')] = 40.0,
+    *,
+    faulty: Annotated[
+        bool, typer.Option(help='disturb a third of the entries')
+    ] = False,
+) -> None:
+    """Show how much of its limit a busy organisation gets in virtual time."""
+    fix_hash_seed()
+    logging.set_verbosity(logging.ERROR)
+    slack = playing.FAULTY_SLACK if faulty else 0
+    plan = playing.Plan(seed, entries, seconds, quota_slack=slack)
+    judged = served.judge(plan, factor)
+    typer.echo(judged.summarise())
+    is_low = min(judged.served) < judged.required
+    raise typer.Exit(1 if judged.violations or is_low else 0)
+
+
 def fix_hash_seed() -> None:
     """Start again with a fixed order of sets of strings, unless it is fixed."""
     if os.environ.get(HASH_SEED) != '0':
--- a/soak/virtual/callers.py
+++ b/soak/virtual/callers.py
@@ -1,7 +1,7 @@
 """Callers that look addresses up, keep them, and repeat what they may."""
 
 from citronjunction.verdicts import http, models
-from soak.virtual import history
+from soak.virtual import history, tenancy
 from tests.support import platform_system
 
 REQUESTS_PER_S = 40
@@ -67,12 +67,19 @@
 
 
 class Traffic:
-    """Send requests at a rate; ``factor`` multiplies it."""
+    """Send requests at a rate; ``factor`` multiplies it.
+
+    With ``demand``, they are of several organisations and have a cost.
+    """
 
     def __init__(
-        self, deployed: platform_system.PlatformSystem, record: history.History
+        self,
+        deployed: platform_system.PlatformSystem,
+        record: history.History,
+        demand: tenancy.Demand | None = None,
     ) -> None:
         self.deployed = deployed
+        self.demand = demand
         self.record = record
         self.world = deployed.world
         self.host = deployed.caller_host
@@ -92,7 +99,10 @@
         self.due += passed_s * REQUESTS_PER_S * self.factor
         while self.due >= 1:
             self.due -= 1
-            self._send_new()
+            self._send_new(self.demand and self.demand.choose())
+        if self.demand is not None:
+            for load in self.demand.take_due(passed_s):
+                self._send_new(load)
 
     def repeat(
         self, request: history.Request, left_s: float, retries: int
@@ -106,11 +116,16 @@
                 left_s,
             )
             again.origin = request.origin
+            again.organisation = request.organisation
+            again.tokens = request.tokens
             self._send(again, retries)
 
-    def _send_new(self) -> None:
+    def _send_new(self, load: tenancy.Load | None) -> None:
         prefix, is_stream, may_repeat = self.random.choice(PATHS)
         request = self._build(prefix, is_stream, may_repeat, DEADLINE_S)
+        if load is not None:
+            request.organisation = load.organisation
+            request.tokens = load.tokens
         self._send(request, MAX_RETRIES)
 
     def _build(
@@ -139,7 +154,10 @@
             f'{request.path_prefix}{request.name}',
             request.name,
             request.deadline_s,
+            request.organisation,
         )
+        if request.tokens:
+            call.headers['Token-Usage'] = tenancy.encode_cost(request.tokens)
         answer = CallerAnswer(self, request, retries)
         self.host.client.send(call, answer)
 
--- a/soak/virtual/drawing.py
+++ b/soak/virtual/drawing.py
@@ -9,6 +9,8 @@
 MIN_DURATION_S = 1.0
 MAX_DURATION_S = 12.0
 MAX_TARGETS = 1000
+MIN_HOT_S = 12.0
+MAX_HOT_S = 24.0
 
 
 class Kind(enum.Enum):
@@ -29,6 +31,39 @@
     worker_fails = 'worker fails'
     burst = 'burst'
     configuration = 'configuration'
+    hot = 'organisation above its quota'
+    quota = 'quota changed'
+    entries_replaced = 'entries lost and replaced'
+    holder_replaced = 'holder of the duties lost and replaced'
+    all_killed = 'all entries killed'
+    entries_frozen = 'entries frozen'
+    entry_stopped = 'entry stopped by SIGTERM'
+    store_down = 'store down'
+    store_slow = 'store slow'
+    store_loses = 'store loses answers'
+    worker_loses = 'worker loses answers'
+
+
+FIRST_KINDS = (
+    Kind.worker_limit,
+    Kind.brittle,
+    Kind.cut_silently,
+    Kind.cut_refused,
+    Kind.entry_killed,
+    Kind.entry_paused,
+    Kind.peers_cut,
+    Kind.store_cut,
+    Kind.worker_killed,
+    Kind.worker_leaves,
+    Kind.worker_silent,
+    Kind.worker_refuses,
+    Kind.worker_fails,
+    Kind.burst,
+    Kind.configuration,
+)
+# A version of the draw gives each seed its faults; a later one adds kinds.
+KINDS = {1: FIRST_KINDS, 2: tuple(Kind)}
+CURRENT = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -49,20 +84,31 @@
         )
 
 
-def draw(seed: int, seconds: float) -> list[Fault]:
+def draw(seed: int, seconds: float, version: int = CURRENT) -> list[Fault]:
     """Return the faults of a seed, which come within so many seconds."""
     source = random.Random(seed)
-    faults = []
+    faults = [_draw_hot(source, seconds)] if Kind.hot in KINDS[version] else []
     at = FIRST_FAULT_S
     while at < seconds:
         faults.append(
             Fault(
                 at,
-                source.choice(list(Kind)),
+                source.choice(KINDS[version]),
                 source.randrange(MAX_TARGETS),
                 source.uniform(MIN_DURATION_S, MAX_DURATION_S),
                 source.random(),
             )
         )
         at += source.expovariate(1 / MEAN_GAP_S)
+    faults.sort(key=lambda fault: fault.starts_at)
     return faults
+
+
+def _draw_hot(source: random.Random, seconds: float) -> Fault:
+    return Fault(
+        source.uniform(FIRST_FAULT_S, seconds / 3),
+        Kind.hot,
+        source.randrange(MAX_TARGETS),
+        source.uniform(MIN_HOT_S, MAX_HOT_S),
+        source.random(),
+    )
--- a/soak/virtual/injecting.py
+++ b/soak/virtual/injecting.py
@@ -4,12 +4,14 @@
 from collections import abc
 
 from citronjunction.transport import http_server
-from soak.virtual import callers, drawing, history
+from soak.virtual import callers, drawing, history, outages, tenancy
 from tests.support import platform_system, platform_worker
 
 SERVICE_S = 0.1  # of a plain request
 EVENTS = 8  # of a stream
 RESTART_S = 1.0
+REPLACED_SHARE = 0.25  # of a fault's duration until the replacement starts
+FROZEN_SHARE = 0.5  # of a fault's duration
 MAX_PAUSE_S = 3.0
 SILENCE_S = 1.2  # of a sound worker
 LEAVES_AFTER_S = 6.0
@@ -34,6 +36,8 @@
         self.traffic = traffic
         self.world = deployed.world
         self.worker_count = 0
+        self.outages = outages.Outages(deployed, record)
+        self.store_trouble = outages.StoreTrouble(deployed, record)
         for worker in deployed.workers.values():
             self._observe(worker)
 
@@ -51,6 +55,16 @@
             kinds.entry_paused: self._stop_entry,
             kinds.burst: self._begin_burst,
             kinds.configuration: self._configure,
+            kinds.hot: self._begin_hot,
+            kinds.quota: self._change_quota,
+            kinds.entries_replaced: self._replace_entries,
+            kinds.holder_replaced: self._replace_holder,
+            kinds.all_killed: self._kill_all,
+            kinds.entries_frozen: self._freeze_entries,
+            kinds.entry_stopped: self._terminate_entry,
+            kinds.store_down: self.store_trouble.begin,
+            kinds.store_slow: self.store_trouble.begin,
+            kinds.store_loses: self.store_trouble.begin,
         }.get(fault.kind, self._harm_worker)
         begin(fault)
 
@@ -81,6 +95,8 @@
                 behaviour.refusals_left = REFUSALS
             case drawing.Kind.worker_fails:
                 behaviour.failures_left = REFUSALS
+            case drawing.Kind.worker_loses:
+                behaviour.aborts_left = REFUSALS
 
     def _name_limit(self, fault: drawing.Fault) -> None:
         name = self._choose_worker(fault)
@@ -138,11 +154,42 @@
             host.pause(seconds)
             self._disturb(name, seconds)
             return
-        host.kill()
-        self._disturb(name, RESTART_S)
-        self.deployed.caller_host.timers.call_later(
-            RESTART_S, lambda: self.deployed.add_gateway(name)
+        self.outages.kill(name, RESTART_S)
+
+    def _replace_entries(self, fault: drawing.Fault) -> None:
+        for name in self._choose_entries(fault):
+            self.outages.replace(name, fault.duration_s * REPLACED_SHARE)
+
+    def _replace_holder(self, fault: drawing.Fault) -> None:
+        for name in self.outages.list_holders():
+            self.outages.replace(name, fault.duration_s * REPLACED_SHARE)
+
+    def _kill_all(self, fault: drawing.Fault) -> None:
+        for name in sorted(self.deployed.gateways):
+            self.outages.kill(name, RESTART_S)
+        self.record.all_ended_at.append(self.world.now)
+
+    def _freeze_entries(self, fault: drawing.Fault) -> None:
+        seconds = fault.duration_s * FROZEN_SHARE
+        for name in self._choose_entries(fault):
+            self.outages.freeze(name, seconds)
+
+    def _terminate_entry(self, fault: drawing.Fault) -> None:
+        self.outages.terminate(self._choose_entries(fault)[0], RESTART_S)
+
+    def _begin_hot(self, fault: drawing.Fault) -> None:
+        demand = self.traffic.demand
+        demand.begin_hot(
+            tenancy.choose_organisation(fault.amount),
+            tenancy.choose_factor(fault.target),
         )
+        self._later(fault, demand.end_hot)
+
+    def _change_quota(self, fault: drawing.Fault) -> None:
+        levels = self.traffic.demand.levels
+        name = tenancy.choose_organisation(fault.amount)
+        levels.change(name, tenancy.choose_level(fault.target))
+        self._later(fault, functools.partial(levels.change, name, 1.0))
 
     def _replace_worker(self, name: str) -> None:
         host = self.deployed.worker_hosts[name]
@@ -221,13 +268,24 @@
         handle: abc.Callable[..., None],
         exchange: http_server.Exchange,
     ) -> None:
-        name = exchange.request.headers.get('attempt-id')
+        headers = exchange.request.headers
+        name = headers.get('attempt-id')
+        run_count = len(worker.runs)
         if name is not None:
             entry = _get_sender(exchange)
             self.record.arrivals.append(
                 history.Arrival(name, worker.name, entry, self.world.now)
             )
         handle(exchange)
+        if len(worker.runs) > run_count:
+            self.record.uses.append(
+                history.Use(
+                    name,
+                    headers.get('tenant', ''),
+                    tenancy.decode_cost(headers.get('token-usage', '')),
+                    self.world.now,
+                )
+            )
 
     def _notice(
         self,
--- a/soak/virtual/playing.py
+++ b/soak/virtual/playing.py
@@ -4,22 +4,42 @@
 import functools
 
 from citronjunction.transport import sockets
-from soak.virtual import callers, drawing, history, injecting, rules
+from soak.virtual import (
+    callers,
+    drawing,
+    history,
+    injecting,
+    rules,
+    tenancy,
+)
 from tests.support import platform_system
 
 MS_PER_S = 1000
 TICK_S = 0.02
 WORKERS = 4  # of each upstream
 SETTLE_S = 8.0  # after the last fault
+FAULTY_SLACK = 0.2  # of the limit of a window
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Plan:
-    """A run: faults begin within ``seconds``."""
+    """A run: faults begin within ``seconds``; ``draw`` is the draw's version.
+
+    ``quota_slack`` is a share of the limit that may be used beyond it. With
+    ``only``, faults with other positions in the draw are left out.
+    """
 
     seed: int
     entries: int = 5
     seconds: float = 30.0
+    draw: int = drawing.CURRENT
+    quota_slack: float = FAULTY_SLACK
+    only: tuple[int, ...] = ()
+
+    @property
+    def has_quotas(self) -> bool:
+        """Return whether organisations have quotas."""
+        return drawing.Kind.quota in drawing.KINDS[self.draw]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -50,6 +70,8 @@
     """Start the gateways and workers of a run."""
     deployed = platform_system.LinkedSystem(plan.seed)
     deployed.world.user_timeout_s = sockets.USER_TIMEOUT_MS / MS_PER_S
+    if plan.has_quotas:
+        deployed.configuration['tenants'] = tenancy.make_tenants({})
     deployed.build(workers=WORKERS, gateways=plan.entries)
     for worker in deployed.workers.values():
         injecting.prepare(worker)
@@ -58,11 +80,31 @@
 
 def play(plan: Plan) -> Report:
     """Play a seed and judge what was seen."""
+    faults = drawing.draw(plan.seed, plan.seconds, plan.draw)
+    if plan.only:
+        faults = [faults[number] for number in plan.only]
+    return play_faults(plan, faults)
+
+
+def play_faults(
+    plan: Plan,
+    faults: list[drawing.Fault],
+    hot: tuple[str, float] | None = None,
+) -> Report:
+    """Play given faults and judge what was seen.
+
+    ``hot`` names an organisation that exceeds its limit and by what factor.
+    """
     deployed = build(plan)
-    record = history.History()
-    traffic = callers.Traffic(deployed, record)
+    record = history.History(quota_slack=plan.quota_slack)
+    demand = None
+    if plan.has_quotas:
+        levels = tenancy.Levels(deployed, record)
+        demand = tenancy.Demand(levels, deployed.world.random)
+        if hot is not None:
+            demand.begin_hot(*hot)
+    traffic = callers.Traffic(deployed, record, demand)
     injector = injecting.Injector(deployed, record, traffic)
-    faults = drawing.draw(plan.seed, plan.seconds)
     for fault in faults:
         deployed.caller_host.timers.call_later(
             fault.starts_at,
--- a/soak/virtual/rules.py
+++ b/soak/virtual/rules.py
@@ -4,7 +4,7 @@
 import re
 from collections import abc
 
-from soak.virtual import history
+from soak.virtual import history, quota_rule
 
 LIMIT_WINDOW_S = 4.0
 LIMIT_TOLERANCE = 1.5
@@ -19,6 +19,7 @@
 RETRY_WINDOW_S = 10.0
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50
+OVER_QUOTA = 429  # HTTP status
 FINAL_ANSWER_S = 0.5  # past the deadline
 EVENT = re.compile(rb'id: (\d+)\ndata: t(\d+)\n\n')
 
@@ -71,7 +72,7 @@
         tries = [
             request
             for request in record.requests
-            if request.is_first_try
+            if _is_owed(record, request)
             and span.binds(request.sent_at)
             and record.is_in_touch(request.entry, request.sent_at)
             and _is_any_connected(record, request.sent_at)
@@ -130,7 +131,10 @@
         informed = informed_at.get(
             (arrival.worker, arrival.entry), float('inf')
         )
-        if sent_at.get(arrival.request, 0) > informed + DRAIN_S:
+        is_known = not any(
+            informed <= end < arrival.at for end in record.all_ended_at
+        )
+        if is_known and sent_at.get(arrival.request, 0) > informed + DRAIN_S:
             yield f'{arrival.request} reached {arrival.worker}'
 
 
@@ -166,6 +170,11 @@
             yield f'{request.name} at {request.entry}'
 
 
+def _is_owed(record: history.History, request: history.Request) -> bool:
+    is_over_quota = bool(record.quotas) and request.status == OVER_QUOTA
+    return request.is_first_try and not is_over_quota
+
+
 def _is_cut(record: history.History, entry: str, at: float) -> bool:
     return any(
         entry in span.names and span.started_at <= at < span.ended_at
@@ -176,6 +185,7 @@
 def _is_any_connected(record: history.History, at: float) -> bool:
     entries = {request.entry for request in record.requests}
     entries.discard(history.GONE)
+    entries -= {name for name, end in record.lost_at.items() if end <= at}
     return any(not _is_cut(record, entry, at) for entry in entries)
 
 
@@ -220,4 +230,5 @@
     check_drain,
     check_retries,
     check_final_answer,
+    quota_rule.check_quota,
 )
