--- a/soak/virtual/callers.py
+++ b/soak/virtual/callers.py
@@ -157,7 +157,7 @@
             request.organisation,
         )
         if request.tokens:
-            call.headers['Token-Usage'] = tenancy.encode_cost(request.tokens)
+            platform_system.add_tokens(call, request.tokens)
         answer = CallerAnswer(self, request, retries)
         self.host.client.send(call, answer)
 
--- a/soak/virtual/tenancy.py
+++ b/soak/virtual/tenancy.py
@@ -14,7 +14,6 @@
 MIN_TOKENS = 80
 MAX_TOKENS = 400
 MEAN_TOKENS = (MIN_TOKENS + MAX_TOKENS) / 2
-OUTPUT_SHARE = 4  # one token in so many is of the output
 HOT_FACTORS = (1.2, 2.0, 6.0)  # of the limit
 LEVELS = (0.4, 0.7, 1.5)  # of the usual quota
 LIMIT = RATE_PER_S * quota_rule.WINDOW_S + BURST
@@ -103,14 +102,12 @@
 def make_tenants(factors: abc.Mapping[str, float]) -> list[dict[str, object]]:
     """Return the configuration of the organisations with their quotas."""
     return [
-        {
-            'name': name,
-            'apiKeys': [platform_system.KEY_FORMAT.format(name)],
-            'unit': 'tokens',
-            'plainTokens': PLAIN_TOKENS,
-            'ratePerS': RATE_PER_S * factors.get(name, 1.0),
-            'burst': BURST * factors.get(name, 1.0),
-        }
+        platform_system.make_tenant(
+            name,
+            RATE_PER_S * factors.get(name, 1.0),
+            BURST * factors.get(name, 1.0),
+            PLAIN_TOKENS,
+        )
         for name in ORGANISATIONS
     ]
 
@@ -130,12 +127,6 @@
     return LEVELS[target % len(LEVELS)]
 
 
-def encode_cost(tokens: int) -> str:
-    """Return the header of a request with so many tokens."""
-    output = tokens // OUTPUT_SHARE
-    return f'{tokens - output},{output}'
-
-
 def decode_cost(text: str) -> int:
     """Return the tokens that a header names."""
     return sum(int(part) for part in text.split(',')) if text else PLAIN_TOKENS
--- a/tests/soak/virtual/test_playing.py
+++ b/tests/soak/virtual/test_playing.py
@@ -1,5 +1,6 @@
 """Short seeded runs of the virtual soak, and broken variants that it finds."""
 
+import dataclasses
 import subprocess
 import sys
 
@@ -79,8 +80,8 @@
     monkeypatch.setattr(
         quotas.Quotas,
         'record_report',
-        lambda limiter, name, incarnation, used, *times: record_report(
-            limiter, name, incarnation, {}, *times
+        lambda limiter, name, report, now: record_report(
+            limiter, name, dataclasses.replace(report, used={}), now
         ),
     )
 
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -106,6 +106,24 @@
     )
 
 
+def add_tokens(call, tokens):
+    """Name the tokens of a request, a quarter of them of its output."""
+    output = tokens // 4
+    call.headers['Token-Usage'] = f'{tokens - output},{output}'
+
+
+def make_tenant(name, rate_per_s, burst, plain_tokens):
+    """Return an organisation with a quota in tokens."""
+    return {
+        'name': name,
+        'apiKeys': [KEY_FORMAT.format(name)],
+        'unit': 'tokens',
+        'plainTokens': plain_tokens,
+        'ratePerS': rate_per_s,
+        'burst': burst,
+    }
+
+
 def make_echo(name):
     """Return the header that the answer to the named request must repeat."""
     return http_client.Echo('attempt-id', name)
