Quotas: keep the last good quota in place of an unusable one

Cause: a negative or infinite figure of a quota was taken as it is (a rate of -1 refuses all), an unknown unit meant requests, and a figure that is no number cost the whole configuration.

Change: a quota is decoded by itself; one that can't be used is logged with its error, and the last one stays in force ('quota kept'), or none if there was none.

Tests: test_an_unusable_quota_is_left_out (five cases) and test_the_last_usable_quota_stays_in_force fail before.

--- a/citronjunction/gateway/context.py
+++ b/citronjunction/gateway/context.py
@@ -126,7 +126,35 @@
         return budget
 
     def apply(self, configuration: models.Configuration) -> None:
-        """Apply a configuration and index its routes."""
-        self.configuration = configuration
-        self.quotas.apply(configuration.organisations.values())
+        """Apply a configuration and index its routes.
+
+        The last quota stays in force in place of one that can't be used.
+        """
+        organisations = {
+            name: self._keep_quota(organisation)
+            for name, organisation in configuration.organisations.items()
+        }
+        self.configuration = dataclasses.replace(
+            configuration, organisations=organisations
+        )
+        self.quotas.apply(organisations.values())
         self.routes = matching.RouteTable(configuration.routes)
+
+    def _keep_quota(
+        self, organisation: models.Organisation
+    ) -> models.Organisation:
+        """Return the organisation with its last quota if it has none."""
+        if organisation.quota is not None:
+            return organisation
+        quota = models.NO_QUOTA
+        if self.configuration is not None:
+            last = self.configuration.organisations.get(organisation.name)
+            quota = last.quota if last else quota
+        self.log.write(
+            'quota kept',
+            organisation.name,
+            rate_per_s=quota.rate_per_s,
+            burst=quota.burst,
+            unit=quota.unit.value,
+        )
+        return dataclasses.replace(organisation, quota=quota)
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -123,13 +123,19 @@
     plain_cost: float
 
 
+NO_QUOTA = Quota(0, 0, QuotaUnit.requests, 1)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Organisation:
-    """Describe a customer; its rank, if any, overrides the route's."""
+    """Describe a customer; its rank, if any, overrides the route's.
+
+    ``quota`` is None if it can't be used, until a configuration is applied.
+    """
 
     name: str
     rank: int | None
-    quota: Quota
+    quota: Quota | None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/citronjunction/platform/configuration.py
+++ b/citronjunction/platform/configuration.py
@@ -1,5 +1,7 @@
 """Decoding of the platform's configuration and rollout objects."""
 
+from typing import Annotated
+
 import pydantic
 from absl import logging
 from pydantic import alias_generators
@@ -12,6 +14,7 @@
 ROLLOUT_KIND = 'rollouts'
 
 Number = float
+Figure = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
 
 
 class WireModel(pydantic.BaseModel):
@@ -78,16 +81,23 @@
     engine: WireEngine | None = None
 
 
+class WireQuota(WireModel):
+    """The quota of an organisation."""
+
+    unit: models.QuotaUnit = models.QuotaUnit.requests
+    plain_tokens: Figure = 1  # cost of a request without a token count
+    rate_per_s: Figure = 0
+    burst: Figure = 0
+
+
 class WireTenant(WireModel):
-    """One organisation with its keys and quota."""
+    """One organisation with its keys; its quota is decoded by itself."""
+
+    model_config = pydantic.ConfigDict(extra='allow')
 
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
-    unit: str = 'requests'
-    plain_tokens: Number = 1  # cost of a request without a token count
-    rate_per_s: Number = 0
-    burst: Number = 0
 
 
 class WireLimits(WireModel):
@@ -240,11 +250,23 @@
 
 
 def _build_organisation(wire: WireTenant) -> models.Organisation:
-    unit = models.QuotaUnit.requests
-    if wire.unit == models.QuotaUnit.tokens.value:
-        unit = models.QuotaUnit.tokens
-    quota = models.Quota(wire.rate_per_s, wire.burst, unit, wire.plain_tokens)
-    return models.Organisation(wire.name, wire.priority, quota)
+    return models.Organisation(wire.name, wire.priority, _build_quota(wire))
+
+
+def _build_quota(tenant: WireTenant) -> models.Quota | None:
+    """Return the quota, or log why it is unusable and return None."""
+    try:
+        wire = WireQuota.model_validate(tenant.model_extra)
+    except pydantic.ValidationError as error:
+        logging.error(
+            'quota of %s is unusable, the last one stays in force: %s',
+            tenant.name,
+            _summarise(error),
+        )
+        return None
+    return models.Quota(
+        wire.rate_per_s, wire.burst, wire.unit, wire.plain_tokens
+    )
 
 
 def _summarise(error: pydantic.ValidationError) -> str:
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -180,3 +180,18 @@
     assert deployed.store.calls - before <= 6
     fleet = deployed.gateways['gateway-0'].services.fleet
     assert len(fleet.select('app')) == 12
+
+
+# A wrong figure must not lift or tighten the quota that is in force.
+def test_the_last_usable_quota_stays_in_force(deployed):
+    gateway = deployed.gateways['gateway-0']
+    tenant = platform_system.make_tenant('org', 5, 10, 1)
+    deployed.configure(tenants=[tenant])
+    deployed.world.run(0.2)
+    deployed.configure(tenants=[{**tenant, 'burst': -1}])
+    deployed.world.run(0.2)
+
+    configured = gateway.services.configuration
+    assert configured.version == deployed.configuration['version']
+    assert configured.organisations['org'].quota.burst == 10
+    assert gateway.log.find('org')[-1]['decision'] == 'quota kept'
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -248,6 +248,26 @@
     assert quota.plain_cost == 200
 
 
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'ratePerS': -1},
+        {'burst': 'many'},
+        {'plainTokens': None},
+        {'ratePerS': float('nan')},
+        {'unit': 'bytes'},
+    ],
+)
+# One unusable quota must not cost the rest of a configuration.
+def test_an_unusable_quota_is_left_out(fields):
+    tenants = [{'name': 'org', 'apiKeys': ['k'], **fields}, {'name': 'other'}]
+    decoded = configuration.decode({'version': 3, 'tenants': tenants})
+
+    assert decoded.organisations['org'].quota is None
+    assert decoded.organisations['other'].quota == models.NO_QUOTA
+    assert decoded.keys == {'k': 'org'}
+
+
 @DERANDOMIZED
 @hypothesis.given(JSON_VALUES)
 def test_no_stored_value_breaks_the_decoders(value):
