Quotas: assume unreported use of the entries that serve only

In a large fleet twelve entries serve and the others report every few seconds. Which peers count was told from the period of their reports, so that an entry which stands by assumed nothing of those that serve for 2.5 s, and the free amount was divided by all entries.

Now the role decides: a serving peer's use since it was last heard is assumed by all; one that stands by counts once it is late, with a share of all entries.

Tests: both new ones fail before, as the reports had no role.

--- a/citronjunction/gateway/quota_peers.py
+++ b/citronjunction/gateway/quota_peers.py
@@ -13,7 +13,6 @@
 # A silent peer may be partitioned and still serve callers. Its share is kept
 # for longer than network partitions usually last.
 SILENT_PEER_RESERVE_S = 60.0
-MAX_SERVING_PERIOD_S = 1.0  # between the reports of an entry that serves
 # Age of a peer's last report from which it counts with an equal share at most.
 # Links between entries that can reach each other are open again by then.
 SEPARATED_S = 15.0
@@ -28,13 +27,15 @@
     """Use of an entry by organisation since the start of its incarnation.
 
     ``period_s`` is the longest time until the next report, ``sequence`` the
-    number of the report in its incarnation, 0 if unknown.
+    number of the report in its incarnation, 0 if unknown. Unless the entry
+    ``is_serving``, it stands by and should get few requests.
     """
 
     incarnation: int
     used: dict[str, float]
     period_s: float = DEFAULT_REPORT_PERIOD_S
     sequence: int = 0
+    is_serving: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -46,6 +47,7 @@
 
     since: float
     is_late: bool
+    is_serving: bool = True
     count: int = 1
 
     def is_separated(self, now: float) -> bool:
@@ -121,7 +123,7 @@
         return {
             name: peer.report
             for name, peer in self.by_name.items()
-            if peer.period_s <= MAX_SERVING_PERIOD_S
+            if peer.report.is_serving
         }
 
     def expect_silence(self, reporting: abc.Container[str]) -> None:
@@ -178,6 +180,15 @@
             return max(1 + len(self.by_name), expected)
         return ASSUMED_ENTRIES
 
+    def count_serving(self, now: float) -> int:
+        """Return the number of expected entries without those that stand by."""
+        serving = sum(peer.report.is_serving for peer in self.by_name.values())
+        return 1 + serving + max(0, self._count_unknown(now))
+
+    def _count_unknown(self, now: float) -> int:
+        """Return how many expected entries have not been heard, if positive."""
+        return self.count_expected(now) - 1 - len(self.by_name)
+
     def measure_known_share(self, now: float) -> float:
         """Return the share of the entries whose use this entry knows.
 
@@ -191,13 +202,17 @@
     def list_unheard(self, now: float) -> list[Unheard]:
         """Return the peers that may have use which they have not reported.
 
-        Peers that stand by and report rarely are left out until they are late.
+        Peers that stand by are left out until they are late.
         """
-        unknown = self.count_expected(now) - 1 - len(self.by_name)
+        unknown = self._count_unknown(now)
         unheard = [
-            Unheard(peer.heard_at, is_late=peer.is_late(now))
+            Unheard(
+                peer.heard_at,
+                is_late=peer.is_late(now),
+                is_serving=peer.report.is_serving,
+            )
             for peer in self.by_name.values()
-            if peer.period_s <= MAX_SERVING_PERIOD_S or peer.is_late(now)
+            if peer.report.is_serving or peer.is_late(now)
         ]
         if unknown > 0:
             unheard.append(
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -240,14 +240,16 @@
         It is taken to be what this entry used since it heard them, a request of
         that ``cost`` included.
         """
-        share = self.limits.get(name, 0) / self.peers.count_expected(now)
+        limit = self.limits.get(name, 0)
+        share = limit / self.peers.count_serving(now)
+        small_share = limit / self.peers.count_expected(now)
         free = max(UNHEARD_SHARE * share, cost)
         window = self._get_own_window(name)
         assumed: float = 0
         for peer in self.peers.list_unheard(now):
             used = window.measure_since(peer.since) + cost
             if peer.is_separated(now):
-                used = min(share, used)
+                used = min(share if peer.is_serving else small_share, used)
             elif not peer.is_late:
                 used = max(0, used - free)
             assumed += peer.count * used
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -118,6 +118,7 @@
                 fact.used,
                 self._get_peer_period_s(fact),
                 fact.sequence,
+                is_serving=self.peers.roles.is_serving(fact.name),
             ),
             now,
         )
--- a/citronjunction/peering/roles.py
+++ b/citronjunction/peering/roles.py
@@ -62,6 +62,10 @@
         """Return whether some live entries are standbys."""
         return len(self.serving) < self.live_count
 
+    def is_serving(self, name: str) -> bool:
+        """Return whether a live entry does not stand by."""
+        return not self.has_standby() or name in self.serving
+
     def owns(self, key: str) -> bool:
         """Return whether this node is chosen for a key among those serving."""
         owner = max(
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -327,3 +327,31 @@
     limiter.restore(quota_past.SavedUse(saved, 1.5), 100.0)
 
     assert limiter.peer_windows['org'].measure(100.0) == 300 + 400 + 300
+
+
+def report_to(limiter, count, *, is_serving, now=100.0):
+    for number in range(count):
+        report = quota_peers.UseReport(
+            1, {}, period_s=12.0, sequence=1, is_serving=is_serving
+        )
+        limiter.record_report(f'{is_serving}-{number}', report, now)
+
+
+# Entries that stand by must not take up the quota of those that serve.
+def test_nothing_is_assumed_of_entries_that_stand_by():
+    limiter = quotas.Quotas(WINDOW_S, 90.0)
+    limiter.is_past_use_known = True
+    report_to(limiter, 60, is_serving=False)
+
+    assert sum(is_admitted(limiter, 100, 102.0) for _ in range(200)) == 100
+
+
+# An entry that stands by hears those that serve every few seconds only.
+def test_an_entry_that_stands_by_uses_little_between_reports():
+    limiter = quotas.Quotas(WINDOW_S, 90.0)
+    limiter.is_past_use_known = True
+    report_to(limiter, 9, is_serving=True)
+    report_to(limiter, 60, is_serving=False)
+
+    admitted = sum(is_admitted(limiter, 100, 102.0) for _ in range(200))
+    assert admitted * 100 <= LIMIT / 10 * 1.1 + 100
