Quotas: mend what a review of the bound found

- the first reports after a restart of all gave away the unknown use before it: only a report that continues one of the checkpoint does;
- a peer that was cut off and started again: what was assumed of it is booked;
- a start while the store is away: little is granted for a window after the last first report, not after the start;
- a checkpoint written by an entry that knows little says so, is written also when no request began, and a malformed one counts as unknown use instead of an error;
- entries that stand by no longer stand for serving ones that were not heard;
- a corrected clock soon after the start makes the restored use doubtful;
- the repeated second leaves the window a second later;
- below the limit: a peer that returns after a minute filled the window with all its use since the checkpoint; a lone entry got a twelfth for good.

--- a/citronjunction/duties/checkpoint.py
+++ b/citronjunction/duties/checkpoint.py
@@ -36,7 +36,6 @@
         'store',
         'timers',
         'written_at',
-        'written_counts',
     )
 
     def __init__(
@@ -70,7 +69,6 @@
         # Whether the store has lost nothing since the checkpoint was written.
         self.is_certified = False
         self.revision = 0
-        self.written_counts: usage.Snapshot = {}
         self.written_at: float = 0
 
     def step(self, *, may_write: bool) -> None:
@@ -93,19 +91,16 @@
             self._write()
 
     def _write(self) -> None:
-        counts = self.ledger.export()
-        if counts == self.written_counts:
-            return
         self.has_pending_call = True
-        self.written_counts = counts
         self.written_at = self.timers.now()
         spec = {
             'at': self.clock.now(),
             'era': self.eras.current,
-            'begun': counts,
+            'begun': self.ledger.export(),
             'used': self.quotas.export(self.timers.now()),
             'entries': self.quotas.peers.count_live(),
             'totals': self._encode_totals(),
+            'is_partial': not self.quotas.is_certain(self.timers.now()),
         }
         if self.revision:
             self.store.replace(
@@ -121,7 +116,7 @@
     def _on_start_read(self, result: records.ReadResult) -> None:
         match result:
             case records.Record(spec=spec):
-                saved = self._decode_use(spec)
+                saved = self._read_use(spec)
                 self.quotas.restore(saved, self.timers.now())
                 self._log_restored(saved)
             case records.Absent():
@@ -140,14 +135,22 @@
         totals[own.name] = [own.incarnation, dict(self.quotas.used)]
         return totals
 
+    def _read_use(self, spec: abc.Mapping[str, object]) -> quota_past.SavedUse:
+        """Return the saved use, or log that it can't be used."""
+        try:
+            return self._decode_use(spec)
+        except (TypeError, ValueError, AttributeError) as error:
+            self.log.write('checkpoint malformed', NAME, error=str(error))
+            return quota_past.SavedUse({}, 0, is_complete=False)
+
     def _decode_use(
         self, spec: abc.Mapping[str, object]
     ) -> quota_past.SavedUse:
         return quota_past.SavedUse(
             spec.get('used') or {},
             max(0, self.clock.now() - spec.get('at', 0)),
-            self._is_current(spec),
-            spec.get('entries', 0),
+            self._is_current(spec) and not spec.get('is_partial'),
+            int(spec.get('entries', 0)),
             {
                 name: quota_peers.UseReport(incarnation, used)
                 for name, (incarnation, used) in spec.get('totals', {}).items()
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -214,6 +214,7 @@
             self.services.quotas.peers.mark_leaving(fact.name)
         if self.clock.compare_with_peer(fact.name, fact.sent_at):
             self.log.write('clock corrected', self.name)
+            self.services.quotas.doubt_past(self.loop.timers.now())
         self.peer_exchange.on_peer_version(fact.revision)
 
     def _on_configuration(self) -> None:
--- a/citronjunction/gateway/quota_past.py
+++ b/citronjunction/gateway/quota_past.py
@@ -45,7 +45,11 @@
         ]
         last = sum(used for age, used in ages if age < AGE_RESOLUTION_S)
         buckets.append(
-            quota_window.Bucket(saved_at, saved_at, last * self.repeated_s)
+            quota_window.Bucket(
+                saved_at,
+                saved_at + self.repeated_s,
+                last * self.repeated_s,
+            )
         )
         return buckets
 
--- a/citronjunction/gateway/quota_peers.py
+++ b/citronjunction/gateway/quota_peers.py
@@ -107,6 +107,7 @@
         if known is not None and _is_outdated(report, known.report):
             return {}
         before = self._get_base(name, report)
+        self.saved.pop(name, None)
         self.by_name[name] = Peer(report, now, report.period_s)
         return {
             organisation: total - before.get(organisation, 0)
@@ -118,6 +119,10 @@
         known = name in self.by_name or self._is_saved(name, report)
         return known or _is_recent_start(report)
 
+    def is_first_saved(self, name: str, report: UseReport) -> bool:
+        """Return whether a first report continues one in the checkpoint."""
+        return name not in self.by_name and self._is_saved(name, report)
+
     def export(self) -> dict[str, UseReport]:
         """Return the last reports of the peers that serve."""
         return {
@@ -171,23 +176,29 @@
 
     def count_expected(self, now: float) -> int:
         """Return the number of entries, with those that were not heard yet."""
+        return max(1 + len(self.by_name), self._count_expected_serving(now))
+
+    def _count_expected_serving(self, now: float) -> int:
+        """Return the least number of entries that serve."""
+        age_s = now - self.started_at
+        if age_s > SILENT_PEER_RESERVE_S:
+            return max(1, self.count_live())
         expected = self.expected_entries
-        if now - self.started_at > SILENT_PEER_RESERVE_S:
-            expected = 0
-        if now - self.started_at < START_S:
+        if age_s < START_S:
             expected = max(expected, self.count_live())
         if self.by_name or expected > 1:
-            return max(1 + len(self.by_name), expected)
+            return max(1, expected)
         return ASSUMED_ENTRIES
 
     def count_serving(self, now: float) -> int:
         """Return the number of expected entries without those that stand by."""
         serving = sum(peer.report.is_serving for peer in self.by_name.values())
-        return 1 + serving + max(0, self._count_unknown(now))
+        return 1 + serving + self._count_unknown(now)
 
     def _count_unknown(self, now: float) -> int:
-        """Return how many expected entries have not been heard, if positive."""
-        return self.count_expected(now) - 1 - len(self.by_name)
+        """Return how many entries that should serve have not been heard."""
+        serving = sum(peer.report.is_serving for peer in self.by_name.values())
+        return max(0, self._count_expected_serving(now) - 1 - serving)
 
     def measure_known_share(self, now: float) -> float:
         """Return the share of the entries whose use this entry knows.
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -87,6 +87,7 @@
         'peer_windows',
         'peers',
         'started_at',
+        'uncertain_since',
         'unknown',
         'unreported',
         'unsaved',
@@ -98,6 +99,9 @@
         self.window_s = window_s
         self.started_at = now
         self.is_past_use_known = False
+        # When use was last found that is not in the sums, unless a checkpoint
+        # tells it.
+        self.uncertain_since = now
         self.peers = quota_peers.Peers(now)
         self.unknown = quota_past.UnknownUse(window_s)
         # Time between the checkpoint and the start.
@@ -170,12 +174,14 @@
         self, name: str, report: quota_peers.UseReport, now: float
     ) -> None:
         """Record the use that a peer reported."""
-        share = 1 / self.peers.count_expected(now)
+        share = 1 / max(2, self.peers.count_expected(now))
         if not self.peers.has_base(name, report):
             oldest = max(self.started_at, now - self.window_s)
             self.unknown.add(oldest, now, share)
-        elif name not in self.peers.by_name and name in self.peers.saved:
+            self.uncertain_since = now
+        elif self.peers.is_first_saved(name, report):
             self.unknown.reveal(self.gap, share)
+        self._book_restart(name, report, now)
         changes = self.peers.record(name, report, now)
         for organisation, change in changes.items():
             if change > 0:
@@ -213,6 +219,17 @@
             past = saved.list_buckets(name, self.started_at, now)
             self._get_peer_window(name).restore(past)
 
+    def is_certain(self, now: float) -> bool:
+        """Return whether the use of the window that ends now is known."""
+        is_uncertain = now - self.uncertain_since < self.window_s
+        return self.is_past_use_known or not is_uncertain
+
+    def doubt_past(self, now: float) -> None:
+        """Record that the restored use may have wrong times."""
+        if now - self.started_at < self.window_s:
+            oldest = self.started_at - self.window_s
+            self.unknown.add(oldest, self.started_at, 1)
+
     def has_unsaved_use(self) -> bool:
         """Return whether a checkpoint is due because of the use."""
         return any(
@@ -238,7 +255,8 @@
         """Return the use that peers may not have reported yet.
 
         It is taken to be what this entry used since it heard them, a request of
-        that ``cost`` included.
+        that ``cost`` included, or in proportion to what the entries that are
+        heard used since then, whichever is more.
         """
         limit = self.limits.get(name, 0)
         share = limit / self.peers.count_serving(now)
@@ -253,7 +271,38 @@
             elif not peer.is_late:
                 used = max(0, used - free)
             assumed += peer.count * used
-        return assumed
+        return max(assumed, self._assume_late(name, cost, now))
+
+    def _assume_late(self, name: str, cost: float, now: float) -> float:
+        """Return the use of the late peers if it is like that of the others."""
+        late = [
+            peer
+            for peer in self.peers.list_unheard(now)
+            if peer.is_late and peer.is_serving
+        ]
+        if not late:
+            return 0
+        count = sum(peer.count for peer in late)
+        heard = max(1, self.peers.count_serving(now) - count)
+        since = min(peer.since for peer in late)
+        own = self._get_own_window(name).measure_since(since) + cost
+        others = self._get_peer_window(name).measure_since(since)
+        return (own + others) * count / heard
+
+    def _book_restart(
+        self, name: str, report: quota_peers.UseReport, now: float
+    ) -> None:
+        """Book what was assumed of a late peer that has started again."""
+        peer = self.peers.by_name.get(name)
+        if peer is None or not peer.is_late(now):
+            return
+        if peer.report.incarnation == report.incarnation:
+            return
+        entries = self.peers.count_serving(now)
+        for organisation, window in self.own_windows.items():
+            share = self.limits.get(organisation, 0) / entries
+            used = min(share, window.measure_since(peer.heard_at))
+            self._get_peer_window(organisation).add(used, now)
 
     def _count_unsaved(self, name: str, used: float) -> None:
         self.unsaved[name] = self.unsaved.get(name, 0) + used
@@ -278,10 +327,7 @@
 
     def _get_granted_share(self, now: float) -> float:
         """Return the share of a limit that all entries may use together."""
-        is_in_first_window = now - self.started_at < self.window_s
-        if is_in_first_window and not self.is_past_use_known:
-            return UNKNOWN_USE_SHARE
-        return 1
+        return 1 if self.is_certain(now) else UNKNOWN_USE_SHARE
 
 
 def _exceeds(used: float, share: float, limit: float) -> bool:
