Soak: hold refusals for quotas against RECOVER unless too much was asked

A 429 was left out wherever organisations had quotas. It is left out now only if the organisation's attempts in the window exceed the lowest limit that an entry may still apply.

--- a/soak/virtual/quota_rule.py
+++ b/soak/virtual/quota_rule.py
@@ -1,6 +1,8 @@
 """The invariant of quotas, over sliding windows of what workers ran."""
 
+import bisect
 import dataclasses
+import itertools
 from collections import abc
 
 from soak.virtual import history
@@ -35,6 +37,59 @@
         return self.used - self.allowed
 
 
+class Asked:
+    """Tell when organisations ask for more than their limits."""
+
+    __slots__ = ('limits', 'record', 'sums', 'times')
+
+    def __init__(self, record: history.History) -> None:
+        self.record = record
+        self.times: dict[str, list[float]] = {}
+        # Sums of the costs up to each of these times.
+        self.sums: dict[str, list[int]] = {}
+        # Limits of each organisation with the times they may be in force.
+        self.limits: dict[str, list[tuple[float, history.Span]]] = {}
+        names = {change.organisation for change in record.quotas}
+        for name in sorted(names):
+            self._add(name)
+
+    def is_too_much(self, organisation: str, at: float) -> bool:
+        """Return whether attempts in the window that ends then exceed a limit.
+
+        It is the lowest limit that an entry may still apply.
+        """
+        in_force = [
+            limit
+            for limit, span in self.limits.get(organisation, ())
+            if span.started_at <= at < span.ended_at
+        ]
+        if not in_force:
+            return False
+        times = self.times[organisation]
+        sums = self.sums[organisation]
+        first = bisect.bisect_left(times, at - WINDOW_S)
+        end = bisect.bisect_right(times, at)
+        return sums[end] - sums[first] > min(in_force)
+
+    def _add(self, name: str) -> None:
+        attempts = sorted(
+            (request.sent_at, request.tokens)
+            for request in self.record.requests
+            if request.organisation == name
+        )
+        self.times[name] = [at for at, _ in attempts]
+        self.sums[name] = list(
+            itertools.accumulate((cost for _, cost in attempts), initial=0)
+        )
+        self.limits[name] = [
+            (
+                limit,
+                dataclasses.replace(span, ended_at=span.ended_at - WINDOW_S),
+            )
+            for limit, span in list_levels(self.record, name)
+        ]
+
+
 def check_quota(record: history.History) -> abc.Iterator[str]:
     """Yield the worst window of an organisation for each way of counting."""
     for organisation in sorted(
--- a/soak/virtual/rules.py
+++ b/soak/virtual/rules.py
@@ -68,11 +68,12 @@
 
 def check_recover(record: history.History) -> abc.Iterator[str]:
     """Yield cuts in which callers of cut-off entries were served far worse."""
+    asked = quota_rule.Asked(record)
     for span in record.cuts:
         tries = [
             request
             for request in record.requests
-            if _is_owed(record, request)
+            if _is_owed(asked, request)
             and span.binds(request.sent_at)
             and record.is_in_touch(request.entry, request.sent_at)
             and _is_any_connected(record, request.sent_at)
@@ -170,8 +171,10 @@
             yield f'{request.name} at {request.entry}'
 
 
-def _is_owed(record: history.History, request: history.Request) -> bool:
-    is_over_quota = bool(record.quotas) and request.status == OVER_QUOTA
+def _is_owed(asked: quota_rule.Asked, request: history.Request) -> bool:
+    is_over_quota = request.status == OVER_QUOTA and asked.is_too_much(
+        request.organisation, request.sent_at
+    )
     return request.is_first_try and not is_over_quota
 
 
--- a/tests/soak/virtual/test_rules.py
+++ b/tests/soak/virtual/test_rules.py
@@ -117,6 +117,65 @@
     assert not check(rules.check_recover, **record)
 
 
+def make_refused_cut(tokens, changes=((0.0, 1000.0),), **fields):
+    """Return a record of a cut-off entry that refuses all for their quota."""
+    record = make_cut(30)
+    for request in record['requests']:
+        request.tokens = tokens
+        if request.entry == 'e0':
+            request.status = rules.OVER_QUOTA
+    record['quotas'] = [
+        history.QuotaChange('org', limit, at) for at, limit in changes
+    ]
+    return {**record, **fields}
+
+
+@pytest.mark.parametrize(('tokens', 'violations'), [(16, 1), (17, 0)])
+def test_a_refusal_below_the_limit_is_owed(tokens, violations):
+    # The 60 requests ask for 960 or 1020 tokens, and 1000 are allowed.
+    found = check(rules.check_recover, **make_refused_cut(tokens))
+
+    assert len(found) == violations
+
+
+def test_what_another_organisation_asks_for_excuses_no_refusal():
+    record = make_refused_cut(16)
+    record['requests'].extend(
+        make_request(f'hot{number}', 'e1', organisation='other', tokens=1000)
+        for number in range(30)
+    )
+
+    assert check(rules.check_recover, **record)
+
+
+def test_what_left_the_window_excuses_no_refusal():
+    record = make_refused_cut(16)
+    record['requests'].append(make_request('old', 'e1', 1.9, tokens=1000))
+
+    assert check(rules.check_recover, **record)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'disturbances', 'violations'),
+    [
+        (((0.0, 1000.0), (9.0, 500.0)), [], 0),
+        (((0.0, 1000.0), (1.0, 500.0), (9.0, 1000.0)), [], 0),
+        (((0.0, 1000.0), (1.0, 500.0), (7.9, 1000.0)), [], 1),
+        (
+            ((0.0, 1000.0), (1.0, 500.0), (7.9, 1000.0)),
+            [make_span(('e2',), 7.0, 8.0)],
+            0,
+        ),
+    ],
+)
+def test_a_lower_limit_excuses_refusals_until_all_know_the_next(
+    changes, disturbances, violations
+):
+    record = make_refused_cut(16, changes, disturbances=disturbances)
+
+    assert len(check(rules.check_recover, **record)) == violations
+
+
 @pytest.mark.parametrize(
     ('may_repeat', 'runs', 'violations'),
     [(False, 1, 0), (False, 2, 1), (True, 2, 0)],
