Quotas: take reports that waited while an entry was frozen for old ones

An entry that went on after a pause counted each report that it found as just heard, and assumed nothing for what its sender had used since. Several frozen entries so took the quota of the others once more.

--- a/citronjunction/gateway/quota_peers.py
+++ b/citronjunction/gateway/quota_peers.py
@@ -18,6 +18,9 @@
 # Links between entries that can reach each other are open again by then.
 SEPARATED_S = 15.0
 START_S = 5.0  # after the start, in which links to the peers are opened
+PAUSE_S = 0.25  # by which a timer is late if the entry was frozen
+BACKLOG_S = 0.25  # after a pause, in which reports may be as old as it
+NEVER = float('inf')
 ASSUMED_ENTRIES = 12  # number of entries assumed until a peer reports
 # A peer whose report has a higher number may have started before the window.
 MAX_FIRST_SEQUENCE = 64
@@ -80,15 +83,26 @@
     """Record the peers' reports; times are monotonic seconds."""
 
     __slots__ = (
+        'active_at',
         'by_name',
         'count_live',
+        'due_at',
         'expected_entries',
+        'paused_at',
+        'resumed_at',
         'saved',
         'started_at',
     )
 
     def __init__(self, now: float) -> None:
         self.started_at = now
+        # When this entry ran last, and when it is due to run again at the
+        # latest unless it is frozen.
+        self.active_at = now
+        self.due_at = NEVER
+        # Begin and end of the last time in which it was frozen.
+        self.paused_at = now
+        self.resumed_at = now - BACKLOG_S
         self.by_name: dict[str, Peer] = {}
         # Number of live entries that may serve callers.
         self.count_live: abc.Callable[[], int] = _get_zero
@@ -97,6 +111,19 @@
         # Reports that a checkpoint from before this start includes.
         self.saved: dict[str, UseReport] = {}
 
+    def expect_activity(self, now: float, within_s: float) -> None:
+        """Record that this entry runs, and does so again within a time."""
+        self.note_activity(now)
+        self.due_at = now + within_s + PAUSE_S
+
+    def note_activity(self, now: float) -> None:
+        """Record that this entry runs."""
+        if now > self.due_at:
+            self.paused_at = self.active_at
+            self.resumed_at = now
+            self.due_at = NEVER
+        self.active_at = now
+
     def record(
         self, name: str, report: UseReport, now: float
     ) -> dict[str, float]:
@@ -105,7 +132,9 @@
         if known is not None and _is_outdated(report, known.report):
             return {}
         before = self._get_base(name, report)
-        self.by_name[name] = Peer(report, now, report.period_s)
+        is_backlog = now - self.resumed_at < BACKLOG_S
+        heard_at = self.paused_at if is_backlog else now
+        self.by_name[name] = Peer(report, heard_at, report.period_s)
         return {
             organisation: total - before.get(organisation, 0)
             for organisation, total in report.used.items()
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -135,6 +135,7 @@
         now: float,
     ) -> Admission:
         """Charge a request, or return why it exceeds the quota."""
+        self.peers.note_activity(now)
         name = organisation.name
         limit = _compute_window_limit(organisation, self.window_s)
         self.limits[name] = limit
@@ -170,6 +171,7 @@
         self, name: str, report: quota_peers.UseReport, now: float
     ) -> None:
         """Record the use that a peer reported."""
+        self.peers.note_activity(now)
         share = 1 / self.peers.count_expected(now)
         if not self.peers.has_base(name, report):
             oldest = max(self.started_at, now - self.window_s)
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -98,10 +98,11 @@
         is_busy = self.was_running or self.services.flows
         if is_busy or waited_s >= self.reported_period_s:
             self.publish()
-        self.services.timers.call_later(
-            self.get_interval_s(),
-            self._publish_again,
+        interval_s = self.get_interval_s()
+        self.services.quotas.peers.expect_activity(
+            self.services.timers.now(), interval_s
         )
+        self.services.timers.call_later(interval_s, self._publish_again)
 
     def merge(self, fact: facts.LoadState) -> None:
         """Merge a peer's report."""
--- a/tests/gateway/test_quota_windows.py
+++ b/tests/gateway/test_quota_windows.py
@@ -201,6 +201,24 @@
     assert measure_worst_window(admitted) <= ALLOWED
 
 
+# Frozen entries go on and take the old reports that they find for new ones.
+def test_reports_that_waited_while_an_entry_was_frozen_are_old():
+    admitted = []
+    running, frozen = Group(0.0, 'a', 'b'), Group(0.0, 'c', 'd', 'e')
+    for now in (1.0, 1.25, 1.5):
+        exchange_reports(now, running, frozen)
+    for limiter in frozen.by_name.values():
+        limiter.peers.expect_activity(1.5, 0.25)
+    press(running.by_name['a'], 3.0, admitted)
+    for limiter in frozen.by_name.values():
+        for name in running.by_name:
+            report = quota_peers.UseReport(1, {})
+            limiter.record_report(name, report, 4.0)
+        press(limiter, 4.0, admitted)
+
+    assert measure_worst_window(admitted) <= LIMIT
+
+
 # A new entry learns neither from the checkpoint nor from the first reports
 # what was used between the two.
 def test_use_between_the_checkpoint_and_the_first_report_counts():
