Quotas: count unknown use until the end of its time has left the window

It went down evenly, though a group that was not linked may have used its part just before the link opened.

--- a/citronjunction/gateway/quota_past.py
+++ b/citronjunction/gateway/quota_past.py
@@ -81,14 +81,13 @@
     def measure(self, now: float) -> float:
         """Return the share of the limit that is assumed as used.
 
-        It is that of the window that ends now.
+        It is that of the window that ends now. All of it may have been used at
+        the end of a span.
         """
         start = now - self.window_s
         self.spans = [span for span in self.spans if span.ended_at > start]
-        return (
-            sum(
-                span.share * (span.ended_at - max(start, span.started_at))
-                for span in self.spans
-            )
-            / self.window_s
+        return sum(
+            span.share
+            * min(1, (span.ended_at - span.started_at) / self.window_s)
+            for span in self.spans
         )
--- a/tests/gateway/test_quota_windows.py
+++ b/tests/gateway/test_quota_windows.py
@@ -219,6 +219,21 @@
     assert measure_worst_window(admitted) <= LIMIT
 
 
+# What a separated group used last leaves the window last.
+def test_use_before_late_links_counts_until_it_has_left_the_window():
+    admitted = []
+    here, there = Group(0.0, 'a', 'b'), Group(0.0, 'c', 'd')
+    for limiter in (*here.by_name.values(), *there.by_name.values()):
+        limiter.peers.expected_entries = 4
+    exchange_reports(19.75, here)
+    press(here.by_name['a'], 20.0, admitted)
+    for now in (20.25, 20.5, 27.25, 27.5):
+        exchange_reports(now, here, there)
+    press(there.by_name['c'], 27.5, admitted)
+
+    assert measure_worst_window(admitted) <= LIMIT
+
+
 # A new entry learns neither from the checkpoint nor from the first reports
 # what was used between the two.
 def test_use_between_the_checkpoint_and_the_first_report_counts():
