Quotas: keep the use before a restart unknown when restarted peers report

The first report of a peer that had started again was taken to tell what it had used since the checkpoint, and the reserve for that time was given away.

--- a/citronjunction/gateway/quota_peers.py
+++ b/citronjunction/gateway/quota_peers.py
@@ -145,6 +145,13 @@
         known = name in self.by_name or self._is_saved(name, report)
         return known or _is_recent_start(report)
 
+    def completes_saved(self, name: str, report: UseReport) -> bool:
+        """Return whether a first report adds what a checkpoint lacks.
+
+        Of an entry that has started again since, the rest stays unknown.
+        """
+        return name not in self.by_name and self._is_saved(name, report)
+
     def export(self) -> dict[str, UseReport]:
         """Return the last reports of the peers that serve."""
         return {
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -176,7 +176,7 @@
         if not self.peers.has_base(name, report):
             oldest = max(self.started_at, now - self.window_s)
             self.unknown.add(oldest, now, share)
-        elif name not in self.peers.by_name and name in self.peers.saved:
+        elif self.peers.completes_saved(name, report):
             self.unknown.reveal(self.gap, share)
         changes = self.peers.record(name, report, now)
         for organisation, change in changes.items():
--- a/tests/gateway/test_quota_windows.py
+++ b/tests/gateway/test_quota_windows.py
@@ -234,6 +234,24 @@
     assert measure_worst_window(admitted) <= LIMIT
 
 
+# The report of an entry that started again is taken for that of the one before.
+@pytest.mark.parametrize(('incarnation', 'unknown'), [(1, 0.25), (2, 0.5)])
+def test_a_restarted_peer_does_not_tell_the_use_before_its_start(
+    incarnation, unknown
+):
+    old = Group(0.0, 'a')
+    saved = save(old, 'a', 100.0)
+    (limiter,) = Group(105.0, 'b').by_name.values()
+    limiter.apply([ORG])
+    limiter.restore(dataclasses.replace(saved, age_s=5.0, entries=2), 105.0)
+
+    report = quota_peers.UseReport(incarnation, {}, sequence=1)
+    limiter.record_report('a', report, 105.1)
+
+    balance = limiter.measure(ORG.name, 105.1)
+    assert balance.unknown == pytest.approx(unknown * LIMIT, abs=2)
+
+
 # A new entry learns neither from the checkpoint nor from the first reports
 # what was used between the two.
 def test_use_between_the_checkpoint_and_the_first_report_counts():
