--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -139,6 +139,7 @@
         now: float,
     ) -> Admission:
         """Charge a request, or return why it exceeds the quota."""
+        self.peers.note_activity(now)
         name = organisation.name
         limit = _compute_window_limit(organisation, self.window_s)
         self.limits[name] = limit
@@ -174,12 +175,13 @@
         self, name: str, report: quota_peers.UseReport, now: float
     ) -> None:
         """Record the use that a peer reported."""
+        self.peers.note_activity(now)
         share = 1 / max(2, self.peers.count_expected(now))
         if not self.peers.has_base(name, report):
             oldest = max(self.started_at, now - self.window_s)
             self.unknown.add(oldest, now, share)
             self.uncertain_since = now
-        elif self.peers.is_first_saved(name, report):
+        elif self.peers.completes_saved(name, report):
             self.unknown.reveal(self.gap, share)
         self._book_restart(name, report, now)
         changes = self.peers.record(name, report, now)
--- a/tests/gateway/test_quota_windows.py
+++ b/tests/gateway/test_quota_windows.py
@@ -201,6 +201,57 @@
     assert measure_worst_window(admitted) <= ALLOWED
 
 
+# Frozen entries go on and take the old reports that they find for new ones.
+def test_reports_that_waited_while_an_entry_was_frozen_are_old():
+    admitted = []
+    running, frozen = Group(0.0, 'a', 'b'), Group(0.0, 'c', 'd', 'e')
+    for now in (1.0, 1.25, 1.5):
+        exchange_reports(now, running, frozen)
+    for limiter in frozen.by_name.values():
+        limiter.peers.expect_activity(1.5, 0.25)
+    press(running.by_name['a'], 3.0, admitted)
+    for limiter in frozen.by_name.values():
+        for name in running.by_name:
+            report = quota_peers.UseReport(1, {})
+            limiter.record_report(name, report, 4.0)
+        press(limiter, 4.0, admitted)
+
+    assert measure_worst_window(admitted) <= LIMIT
+
+
+# What a separated group used last leaves the window last.
+def test_use_before_late_links_counts_until_it_has_left_the_window():
+    admitted = []
+    here, there = Group(0.0, 'a', 'b'), Group(0.0, 'c', 'd')
+    for limiter in (*here.by_name.values(), *there.by_name.values()):
+        limiter.peers.expected_entries = 4
+    exchange_reports(19.75, here)
+    press(here.by_name['a'], 20.0, admitted)
+    for now in (20.25, 20.5, 27.25, 27.5):
+        exchange_reports(now, here, there)
+    press(there.by_name['c'], 27.5, admitted)
+
+    assert measure_worst_window(admitted) <= LIMIT
+
+
+# The report of an entry that started again is taken for that of the one before.
+@pytest.mark.parametrize(('incarnation', 'unknown'), [(1, 0.25), (2, 0.5)])
+def test_a_restarted_peer_does_not_tell_the_use_before_its_start(
+    incarnation, unknown
+):
+    old = Group(0.0, 'a')
+    saved = save(old, 'a', 100.0)
+    (limiter,) = Group(105.0, 'b').by_name.values()
+    limiter.apply([ORG])
+    limiter.restore(dataclasses.replace(saved, age_s=5.0, entries=2), 105.0)
+
+    report = quota_peers.UseReport(incarnation, {}, sequence=1)
+    limiter.record_report('a', report, 105.1)
+
+    balance = limiter.measure(ORG.name, 105.1)
+    assert balance.unknown == pytest.approx(unknown * LIMIT, abs=2)
+
+
 # A new entry learns neither from the checkpoint nor from the first reports
 # what was used between the two.
 def test_use_between_the_checkpoint_and_the_first_report_counts():
