Peer protocol that grows: unknown kinds are skipped, each build names what it reads

Change: unknown kinds of messages and facts are skipped, logged once a kind and counted (citron_skipped_kinds, 16 kinds one by one); unknown fields at the end are ignored, missing ones take their defaults; the rest is checked as before. A link sends only kinds, keys and fields that its peer reads; what it does not read stays pending. Where a fleet has several dialects, entries of one dialect are linked to each other, so that facts which the others can't relay reach them.

--- a/citronjunction/gateway/counting.py
+++ b/citronjunction/gateway/counting.py
@@ -28,6 +28,16 @@
     evidence: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class KindSkipped:
+    """A message or fact of a peer that this build does not read."""
+
+    kind: str
+
+
+Event = RequestEnded | RequestRetried | KindSkipped
+
+
 class Counts:
     """Buffer records and pass them to the metrics once those are loaded."""
 
@@ -36,10 +46,10 @@
     def __init__(self, process: str) -> None:
         """Set the process name that labels the metrics."""
         self.process = process
-        self.pending: list[RequestEnded | RequestRetried] = []
+        self.pending: list[Event] = []
         self.metrics: 'metrics.Metrics | None' = None
 
-    def record(self, event: RequestEnded | RequestRetried) -> None:
+    def record(self, event: Event) -> None:
         """Record one event."""
         if self.metrics is not None:
             self._count(event)
@@ -61,7 +71,7 @@
         self.load()
         return self.metrics.render()
 
-    def _count(self, event: RequestEnded | RequestRetried) -> None:
+    def _count(self, event: Event) -> None:
         match event:
             case RequestEnded(
                 outcome=outcome, route_kind=kind, duration_s=seconds
@@ -71,3 +81,5 @@
                 self.metrics.request_duration.record(seconds, labels)
             case RequestRetried(evidence=evidence):
                 self.metrics.retries.add(1, {'evidence': evidence})
+            case KindSkipped(kind=kind):
+                self.metrics.skipped_kinds.add(1, {'kind': kind})
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -86,6 +86,7 @@
             self.services.quotas,
         )
         self.peers = node.PeerNode(loop, settings, self.name, self)
+        self.peers.skipped.on_skipped = self._count_skipped
         self.watcher = watching.Watcher(
             self.services,
             adapter.store,
@@ -234,6 +235,9 @@
         if not self.stopper.is_stopping:
             self.sharing.publish_lease(self.lease_client.get_version())
 
+    def _count_skipped(self, kind: str) -> None:
+        self.services.counts.record(counting.KindSkipped(kind))
+
     def _count_live(self) -> int:
         live = self.peers.liveness.select_live(self.loop.timers.now())
         serving = max(
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -12,6 +12,7 @@
 import pydantic
 
 MS_PER_S = 1000
+KEY_SEPARATOR = '/'
 
 Version = tuple[int, int]
 Text = Annotated[str, pydantic.Field(max_length=256)]
@@ -303,7 +304,7 @@
 def get_key(fact: Fact) -> str:
     """Return the key of the subject that the fact describes."""
     values = [str(getattr(fact, name)) for name in KEY_FIELDS[type(fact)]]
-    return '/'.join((fact.kind, *values))
+    return KEY_SEPARATOR.join((fact.kind, *values))
 
 
 def get_version(fact: Fact) -> Version:
--- a/citronjunction/membership/gossip.py
+++ b/citronjunction/membership/gossip.py
@@ -4,7 +4,7 @@
 import enum
 import random
 
-from citronjunction.membership import facts, messages, table
+from citronjunction.membership import dialects, facts, messages, table
 
 MAX_FACTS_PER_MESSAGE = 200
 MAX_KEYS_PER_DIGEST = 2000
@@ -35,8 +35,12 @@
 
 @dataclasses.dataclass(slots=True)
 class LinkState:
-    """Versions that the peer is known to have, and keys to send to it."""
+    """Versions that the peer is known to have, and keys to send to it.
 
+    Keys of facts that the peer does not read stay pending.
+    """
+
+    dialect: dialects.Dialect
     known: dict[str, facts.Version] = dataclasses.field(default_factory=dict)
     pending: set[str] = dataclasses.field(default_factory=set)
 
@@ -57,11 +61,24 @@
         self.serving: frozenset[str] = frozenset()
         self.links: dict[str, LinkState] = {}
 
-    def open_link(self, name: str) -> list[Outgoing]:
-        """Start to use a link; return the digest that each side sends first."""
-        self.links[name] = LinkState()
+    def open_link(
+        self,
+        name: str,
+        dialect: dialects.Dialect = messages.OWN_DIALECT,
+    ) -> list[Outgoing]:
+        """Start to use a link; return the digest that each side sends first.
+
+        ``dialect`` is what the peer reads.
+        """
+        self.links[name] = LinkState(dialect)
         return self._build_digest(name)
 
+    def set_dialect(self, name: str, dialect: dialects.Dialect) -> None:
+        """Set what the peer of an open link reads."""
+        link = self.links.get(name)
+        if link is not None:
+            link.dialect = dialect
+
     def close_link(self, name: str) -> None:
         """Stop using a link."""
         self.links.pop(name, None)
@@ -115,6 +132,7 @@
             key
             for key, version in message.versions.items()
             if own.get(key, (-1, 0)) < version
+            and messages.OWN_DIALECT.reads_key(key)
         ]
         if not wanted:
             return []
@@ -213,7 +231,7 @@
             if fact is None:
                 link.pending.discard(key)
                 continue
-            if isinstance(fact, excluded):
+            if isinstance(fact, excluded) or not link.dialect.reads(fact.kind):
                 continue
             link.pending.discard(key)
             version = facts.get_version(fact)
--- a/citronjunction/membership/messages.py
+++ b/citronjunction/membership/messages.py
@@ -10,9 +10,11 @@
 import cbor2
 import pydantic
 
-from citronjunction.membership import facts, packing
+from citronjunction.membership import dialects, facts, packing
 
 PROTOCOL_VERSION = 2
+MAX_KINDS = 256  # that a build may name
+MAX_FIELDS = 64  # of a kind
 DECODE_ERRORS = (
     ValueError,  # includes pydantic.ValidationError
     cbor2.CBORDecodeError,
@@ -47,6 +49,20 @@
     kind: Literal['proof'] = 'proof'
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Speaks:
+    """Name what the sender reads, after its proof to a peer that does too.
+
+    ``field_counts`` is as in ``dialects.Dialect``.
+    """
+
+    field_counts: Annotated[
+        dict[facts.Text, Annotated[int, pydantic.Field(ge=0, le=MAX_FIELDS)]],
+        pydantic.Field(max_length=MAX_KINDS),
+    ]
+    kind: Literal['speaks'] = 'speaks'
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Facts:
     """Send facts to the peer."""
@@ -150,6 +166,7 @@
 Message = Union[
     Hello,
     Proof,
+    Speaks,
     Facts,
     Digest,
     Want,
@@ -168,20 +185,51 @@
 )
 
 
-class MessageError(ValueError):
-    """Raised for bytes that are not a valid message of the protocol."""
+OWN_DIALECT = dialects.Dialect(
+    {kind: len(names) for kind, names in UNPACKER.fields_by_kind.items()},
+)
+OWN_NUMBER = OWN_DIALECT.compute_number()
 
 
-def encode(message: Message) -> bytes:
-    """Return the bytes of a message."""
-    return cbor2.dumps(packing.pack(message))
+class MessageError(ValueError):
+    """Raised for bytes that are not a valid message of the protocol."""
 
 
-def decode(frame: bytes) -> Message:
-    """Return the message in the bytes, or raise ``MessageError``."""
+def restrict(message: Message, dialect: dialects.Dialect) -> Message | None:
+    """Return what a build of a dialect reads of a message, None if nothing."""
+    if not dialect.reads(message.kind):
+        return None
+    match message:
+        case Facts(facts=sent):
+            read = tuple(fact for fact in sent if dialect.reads(fact.kind))
+            return Facts(read) if read else None
+        case Digest(versions=versions):
+            return Digest(
+                {
+                    key: version
+                    for key, version in versions.items()
+                    if dialect.reads_key(key)
+                }
+            )
+    return message
+
+
+def encode(message: Message, dialect: dialects.Dialect = OWN_DIALECT) -> bytes:
+    """Return the bytes of a message with the fields of a dialect."""
+    return cbor2.dumps(packing.pack(message, dialect.field_counts))
+
+
+def decode(
+    frame: bytes, on_unknown: packing.OnUnknown = packing.ignore_kind
+) -> Message | None:
+    """Return the message in the bytes, or raise ``MessageError``.
+
+    Return None for a message of a kind that this build does not know, and
+    leave out such facts; ``on_unknown`` receives the kind of each.
+    """
     try:
-        named = UNPACKER.unpack(cbor2.loads(frame))
-        return ADAPTER.validate_python(named)
+        named = UNPACKER.unpack(cbor2.loads(frame), on_unknown)
+        return named and ADAPTER.validate_python(named)
     except DECODE_ERRORS as error:
         raise MessageError(f'malformed peer message: {error}') from error
 
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -40,6 +40,10 @@
             'citron_rejected_links',
             description='peer links closed for bad messages',
         )
+        self.skipped_kinds = meter.create_counter(
+            'citron_skipped_kinds',
+            description='messages and facts of peers that were not read',
+        )
         self.first_token = meter.create_histogram(
             'citron_first_token',
             unit='s',
--- a/citronjunction/peering/node.py
+++ b/citronjunction/peering/node.py
@@ -7,6 +7,7 @@
 
 from citronjunction.conf import models as conf
 from citronjunction.membership import (
+    dialects,
     facts,
     gossip,
     liveness,
@@ -14,7 +15,7 @@
     table,
     topology,
 )
-from citronjunction.peering import roles
+from citronjunction.peering import kinship, roles, skipping
 from citronjunction.transport import links, runtime
 
 FLUSH_S = 0.25  # interval at which facts that aren't urgent are sent
@@ -67,6 +68,7 @@
         self.listed_nodes: dict[str, topology.Node] = {}
         self.unreachable: dict[str, float] = {}
         self.rejected = 0
+        self.skipped = skipping.SkippedKinds()
         self.closed_bytes = 0
         self.is_flush_scheduled = False
         self.dial_targets: abc.Callable[[], list[str]] = self.choose_targets
@@ -92,6 +94,7 @@
     def publish(self, fact: facts.Fact) -> None:
         """Publish a fact of this node to its peers and the own listener."""
         if isinstance(fact, facts.EntryState):
+            fact = dialects.mark_state(fact, messages.OWN_NUMBER)
             size = len(messages.encode(messages.Facts((fact,))))
             self.liveness.heartbeat_bytes = float(
                 size * max(1, len(self.open_links))
@@ -133,9 +136,16 @@
         ]
         own = topology.Node(self.own_name, '', process.zone)
         chosen = self._choose_links(own, usable)
+        chosen += kinship.choose_kin(
+            own,
+            usable,
+            self.liveness.select_live(now),
+            self.roles,
+            self.settings.membership.links,
+        )
         targets = [
             node.peer_address
-            for node in chosen
+            for node in dict.fromkeys(chosen)
             if node.name not in self.open_links
             or node.peer_address in self.outbound
         ]
@@ -162,7 +172,7 @@
         self.open_links[link.peer_name] = link
         if older is not None:
             older.close('replaced by another link')
-        self._send(self.gossip.open_link(link.peer_name))
+        self._send(self.gossip.open_link(link.peer_name, link.dialect))
 
     def on_link_message(
         self,
@@ -170,6 +180,8 @@
         message: messages.Message,
     ) -> None:
         """Handle a message of a peer."""
+        if self.open_links.get(link.peer_name) is link:
+            self.gossip.set_dialect(link.peer_name, link.dialect)
         match message:
             case messages.Facts():
                 self.gossip.forwarding = self.roles.choose_forwarding(
@@ -209,6 +221,10 @@
         self.rejected += 1
         logging.warning('peer link rejected: %s', reason[:200])
 
+    def on_unknown_kind(self, link: links.Link, kind: str) -> None:
+        """Count a message or fact that this build does not read."""
+        self.skipped.record(link.peer_name, kind)
+
     def _choose_recovery_targets(self) -> list[str]:
         """Return the seeds and a few entries seen earlier, live or not."""
         seeds = self.settings.membership.seeds.split(',')
--- a/citronjunction/transport/links.py
+++ b/citronjunction/transport/links.py
@@ -10,7 +10,7 @@
 from websockets import client, frames, http11, server, uri
 
 from citronjunction.conf import models as conf
-from citronjunction.membership import messages
+from citronjunction.membership import dialects, facts, messages
 from citronjunction.transport import sockets
 
 CONNECT_TIMEOUT_S = 2.0
@@ -33,17 +33,23 @@
     def on_link_rejected(self, reason: str) -> None:
         """Receive the reason for closing an invalid link."""
 
+    def on_unknown_kind(self, link: 'Link', kind: str) -> None:
+        """Receive the kind of a message or fact that is left out."""
+
 
 class Link:
     """Exchange messages with one peer.
 
-    ``peer_name`` is empty until the peer's hello.
+    ``peer_name`` is empty until the peer's hello. ``dialect`` is what the peer
+    reads; ``is_named`` says whether it has named it, as new builds do.
     """
 
     __slots__ = (
         'connection',
+        'dialect',
         'hub',
         'is_authenticated',
+        'is_named',
         'nonce',
         'own_name',
         'peer_address',
@@ -73,7 +79,9 @@
         self.own_name = own_name
         self.protocol = protocol
         self.connection: sockets.Connection | None = None
-        self.nonce = secrets.token_bytes(32)
+        self.nonce = dialects.mark_nonce(
+            secrets.token_bytes(dialects.NONCE_BYTES)
+        )
         self.peer_nonce = b''
         self.role = messages.Role.server
         self.peer_role = messages.Role.client
@@ -83,6 +91,8 @@
         self.peer_name = ''
         self.peer_address = ''
         self.is_authenticated = False
+        self.dialect = dialects.OLDEST
+        self.is_named = False
         self.received_at: float = 0
         self.sent_bytes = 0
 
@@ -111,16 +121,21 @@
         self.hub.on_link_close(self, reason)
 
     def send(self, message: messages.Message) -> None:
-        """Send a message; drop it if the link is not open."""
-        if self.connection.is_closed or self.protocol.state.name != 'OPEN':
-            return
-        self.protocol.send_binary(messages.encode(message))
-        self._flush()
+        """Send what the peer reads of a message, if the link is open."""
+        read = messages.restrict(message, self.dialect)
+        if read is not None:
+            self._transmit(messages.encode(read, self.dialect))
 
     def close(self, reason: str) -> None:
         """Close the link now."""
         self.sockets.close(self.connection, reason)
 
+    def _transmit(self, frame: bytes) -> None:
+        if self.connection.is_closed or self.protocol.state.name != 'OPEN':
+            return
+        self.protocol.send_binary(frame)
+        self._flush()
+
     def _flush(self) -> None:
         for chunk in self.protocol.data_to_send():
             if chunk:
@@ -153,8 +168,9 @@
         self.send(hello)
 
     def _handle_message(self, frame: bytes) -> None:
+        unknown_kinds: list[str] = []
         try:
-            message = messages.decode(frame)
+            message = messages.decode(frame, unknown_kinds.append)
         except messages.MessageError as error:
             self._reject(str(error))
             return
@@ -163,10 +179,25 @@
                 self._handle_hello(message)
             case messages.Proof():
                 self._handle_proof(message)
-            case _ if self.is_authenticated:
-                self.hub.on_link_message(self, message)
-            case _:
+            case messages.Speaks():
+                self._handle_speaks(message)
+            case _ if not self.is_authenticated:
                 self._reject('message before authentication')
+            case _ if dialects.is_marked(self.peer_nonce) and not self.is_named:
+                self._reject('message before the peer said what it reads')
+            case _:
+                self._handle_others(message, unknown_kinds)
+
+    def _handle_others(
+        self, message: messages.Message | None, unknown_kinds: list[str]
+    ) -> None:
+        for kind in unknown_kinds:
+            self.hub.on_unknown_kind(self, kind)
+        if message is None:
+            return
+        if not self.is_named:
+            self.dialect = dialects.infer(self.dialect, _list_kinds(message))
+        self.hub.on_link_message(self, message)
 
     def _handle_hello(self, hello: messages.Hello) -> None:
         if hello.protocol != messages.PROTOCOL_VERSION:
@@ -185,6 +216,9 @@
             self.nonce,
         )
         self.send(messages.Proof(digest))
+        if dialects.is_marked(hello.nonce):
+            speaks = messages.Speaks(messages.OWN_DIALECT.field_counts)
+            self._transmit(messages.encode(speaks))
 
     def _handle_proof(self, proof: messages.Proof) -> None:
         expected = messages.compute_proof(
@@ -201,7 +235,16 @@
             return
         if not self.is_authenticated:
             self.is_authenticated = True
-            self.hub.on_link_open(self)
+            if not dialects.is_marked(self.peer_nonce):
+                self.hub.on_link_open(self)
+
+    def _handle_speaks(self, speaks: messages.Speaks) -> None:
+        if not self.is_authenticated or self.is_named:
+            self._reject('unexpected naming of what the peer reads')
+            return
+        self.is_named = True
+        self.dialect = dialects.Dialect(speaks.field_counts)
+        self.hub.on_link_open(self)
 
     def _reject(self, reason: str) -> None:
         self.hub.on_link_rejected(reason)
@@ -256,3 +299,13 @@
             self.own_name,
             protocol,
         )
+
+
+def _list_kinds(message: messages.Message) -> list[str]:
+    """Return the kinds of the facts that a message holds or lists."""
+    match message:
+        case messages.Facts(facts=sent):
+            return [fact.kind for fact in sent]
+        case messages.Digest(versions=versions):
+            return [key.partition(facts.KEY_SEPARATOR)[0] for key in versions]
+    return []
--- a/tests/membership/test_messages.py
+++ b/tests/membership/test_messages.py
@@ -27,6 +27,11 @@
         message = messages.decode(frame)
     except messages.MessageError:
         return
+    if message is None:
+        kind = cbor2.loads(frame)[0]
+        assert isinstance(kind, str)
+        assert kind not in messages.UNPACKER.fields_by_kind
+        return
     assert messages.decode(messages.encode(message)) == message
 
 
@@ -59,3 +64,61 @@
     frame = cbor2.dumps(['hello', 'n' * size, 1, b'x' * 32])
     with pytest.raises(messages.MessageError):
         messages.decode(frame)
+
+
+LEAVING = ['leaving', 'h', 1.0, 6.0]
+
+
+@pytest.mark.parametrize(
+    ('packed', 'unknown'),
+    [
+        (['news', 1, {}], ['news']),
+        (
+            ['facts', [LEAVING, ['news', 1], LEAVING, ['other']]],
+            ['news', 'other'],
+        ),
+        (['facts', [[*LEAVING, 'more', None]], 'more'], []),
+        (['facts', [LEAVING[:3]]], []),
+    ],
+)
+def test_unknown_kinds_are_reported_and_unknown_fields_ignored(packed, unknown):
+    reported = []
+    message = messages.decode(cbor2.dumps(packed), reported.append)
+
+    assert reported == unknown
+    if message is None:
+        assert packed[0] == 'news'
+    else:
+        expected = {facts.LeavingHost('h', 1.0, 6.0)}
+        if packed[1] == [LEAVING[:3]]:
+            expected = {facts.LeavingHost('h', 1.0)}
+        assert set(message.facts) == expected
+
+
+@pytest.mark.parametrize(
+    'packed',
+    [
+        [],
+        'facts',
+        {'facts': []},
+        [''],
+        ['n' * 65],
+        [7, 'facts'],
+        ['facts'],
+        ['facts', 'leaving'],
+        ['facts', [LEAVING, 7]],
+        ['facts', [LEAVING, []]],
+        ['facts', [['leaving', 'h']]],
+        ['facts', [['leaving', 7, 1.0, 6.0]]],
+        ['facts', [['hello', 'n', 2, b'n' * 32]]],
+        ['leaving', 'h', 1.0, 6.0],
+        ['evidence', 'n', 1, 2, 'u', 'v', 3, [['r', 'm', 'w', 3]]],
+        ['digest', {'leaving/h': [1]}],
+        ['speaks', {'facts': -1}],
+        ['speaks', {str(number): 1 for number in range(257)}],
+        ['hello', 'n', 2],
+    ],
+)
+def test_malformed_messages_and_known_kinds_are_rejected(packed):
+    with pytest.raises(messages.MessageError):
+        messages.decode(cbor2.dumps(packed))
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -8,7 +8,7 @@
 from websockets.sync import client
 
 from citronjunction.conf import models as conf
-from citronjunction.membership import messages
+from citronjunction.membership import facts, messages
 from citronjunction.transport import links, runtime
 from tests.support import live, virtual
 
@@ -21,6 +21,7 @@
         self.rejections = []
         self.received = []
         self.rejected = threading.Event()
+        self.unknown = []
 
     def on_link_open(self, link):
         self.opened.set()
@@ -31,6 +32,9 @@
     def on_link_close(self, link, reason):
         """Do nothing."""
 
+    def on_unknown_kind(self, link, kind):
+        self.unknown.append(kind)
+
     def on_link_rejected(self, reason):
         self.rejections.append(reason)
         self.rejected.set()
@@ -84,6 +88,8 @@
             messages.encode(messages.Hello('x', 99, b'n' * 32)),
             'unknown protocol',
         ),
+        (b'\x81\x64news', 'before authentication'),
+        (messages.encode(messages.Speaks({})), 'unexpected naming'),
     ],
 )
 def test_invalid_messages_close_the_link_and_are_reported(
@@ -123,3 +129,29 @@
     link.on_bytes(b''.join(peer.data_to_send()))
 
     assert len(hub.rejections) == 1
+
+
+class RecordingLink(links.Link):
+    """Record the frames that would be sent."""
+
+    def _transmit(self, frame):
+        self.frames.append(frame)
+
+
+def test_a_peer_gets_only_what_it_has_named():
+    loop = virtual.World().add_host('client')
+    protocol = protocols.ClientProtocol(uri.parse_uri('ws://10.0.0.1:1/peer'))
+    link = RecordingLink(
+        loop.sockets, Hub(), conf.Membership(), 'client', protocol
+    )
+    link.frames = []
+    link.dialect = messages.dialects.Dialect({'facts': 1, 'leaving': 2})
+    known = facts.LeavingHost('h', 1.0, 6.0)
+    unknown = facts.FullWorker('w/1', 3, 1.0)
+    link.send(messages.Facts((unknown, known)))
+    link.send(messages.Facts((unknown,)))
+    link.send(messages.Digest({}))
+
+    assert [messages.decode(frame) for frame in link.frames] == [
+        messages.Facts((facts.LeavingHost('h', 1.0),))
+    ]
