Mixed fleets: new entries keep limits, places and forwarding in old ones' place

Change: new entries leave old ones their parts of a worker's limit and of the places of brittle workers. To peers that know no limits, a limited worker is reported as full, so that they use it last (gateway/easing.py).

--- a/citronjunction/gateway/assembling.py
+++ b/citronjunction/gateway/assembling.py
@@ -14,9 +14,11 @@
     reachability,
     rollouts,
 )
+from citronjunction.membership import facts
 
 if TYPE_CHECKING:
     from citronjunction.gateway import node
+    from citronjunction.peering import node as peering
 
 
 def build_services(
@@ -59,6 +61,21 @@
         forwarding.Signer(owner.name, settings.membership.secret),
         reach,
         settings.process.zone,
-        lambda: owner.peers.liveness.select_live(owner.loop.timers.now()),
+        lambda: _select_forwarding(owner.peers, owner.loop.timers.now()),
         lambda name: owner.sharing.count_running(name),
     )
+
+
+def _select_forwarding(
+    peers: 'peering.PeerNode', now: float
+) -> list[facts.EntryState]:
+    """Return the live entries that read the marks of forwarded requests.
+
+    Builds that report lost upstreams do; an older one would count a forwarded
+    request as another one of the caller.
+    """
+    return [
+        state
+        for state in peers.liveness.select_live(now)
+        if peers.is_read_by(state, facts.LOST_UPSTREAMS)
+    ]
--- a/citronjunction/gateway/constraint_sharing.py
+++ b/citronjunction/gateway/constraint_sharing.py
@@ -151,6 +151,7 @@
     ) -> constraints.Turn:
         serving = sorted(self.peers.roles.serving)
         known_share = self.services.quotas.measure_known_share(now)
+        known_share *= self._measure_reporting()
         own_name = self.peers.own_name
         if own_name not in serving:
             return constraints.Turn(len(serving), len(serving) + 1, known_share)
@@ -160,3 +161,16 @@
         offset = rounds + xxhash.xxh32_intdigest(start_key.encode())
         position = (serving.index(own_name) + offset) % len(serving)
         return constraints.Turn(position, len(serving), known_share)
+
+    def _measure_reporting(self) -> float:
+        """Return the share of the entries that report what they send.
+
+        Those of older builds don't, and don't know the constraints either, so
+        their parts are left to them.
+        """
+        states = self.peers.roles.serving.values()
+        reporting = sum(
+            self.peers.is_read_by(state, facts.LIMITED_SENDS)
+            for state in states
+        )
+        return reporting / len(states) if reporting else 1
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -6,6 +6,7 @@
     context,
     copying,
     crash_reporting,
+    easing,
     reach_checking,
     sharing,
     trials,
@@ -42,6 +43,7 @@
         self.constraint_sharing = constraint_sharing.ConstraintSharing(
             services, peers, steady_clock, incarnation
         )
+        peers.gossip.adapt = easing.Easing(services.fleet, peers.own_name).adapt
         self.reach_checker = reach_checking.ReachChecker(
             services, peers, steady_clock, incarnation
         )
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -13,6 +13,8 @@
 
 MS_PER_S = 1000
 KEY_SEPARATOR = '/'
+LIMITED_SENDS = 'limited_sends'
+LOST_UPSTREAMS = 'lost_upstreams'
 
 Version = tuple[int, int]
 Text = Annotated[str, pydantic.Field(max_length=256)]
@@ -193,7 +195,7 @@
     sequence: int
     sends: dict[str, int]
     sent_at: float
-    kind: Literal['limited_sends'] = 'limited_sends'
+    kind: Literal['limited_sends'] = LIMITED_SENDS
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -210,7 +212,7 @@
     upstreams: tuple[Text, ...]
     is_cut_off: bool
     noticed_at: float
-    kind: Literal['lost_upstreams'] = 'lost_upstreams'
+    kind: Literal['lost_upstreams'] = LOST_UPSTREAMS
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/citronjunction/membership/gossip.py
+++ b/citronjunction/membership/gossip.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import random
+from collections import abc
 
 from citronjunction.membership import dialects, facts, messages, table
 
@@ -13,6 +14,9 @@
 PERIODIC = (facts.EntryState, facts.LoadState, facts.LimitedSends)
 
 
+Adapt = abc.Callable[[facts.Fact, dialects.Dialect], facts.Fact]
+
+
 class Forwarding(enum.Enum):
     """Links over which a node forwards periodic facts of other nodes.
 
@@ -48,7 +52,7 @@
 class GossipProtocol:
     """Send new facts once over each link, and repair losses by digests."""
 
-    __slots__ = ('forwarding', 'links', 'random', 'serving', 'table')
+    __slots__ = ('adapt', 'forwarding', 'links', 'random', 'serving', 'table')
 
     def __init__(
         self,
@@ -58,6 +62,8 @@
         self.table = facts_table
         self.random = source
         self.forwarding = Forwarding.everywhere
+        # Returns a fact as it is sent to a peer that reads a dialect.
+        self.adapt: Adapt = _keep
         self.serving: frozenset[str] = frozenset()
         self.links: dict[str, LinkState] = {}
 
@@ -237,10 +243,15 @@
             version = facts.get_version(fact)
             if link.known.get(key, (-1, 0)) < version:
                 link.known[key] = version
-                chosen.append(fact)
+                chosen.append(self.adapt(fact, link.dialect))
         return chosen
 
 
+def _keep(fact: facts.Fact, dialect: dialects.Dialect) -> facts.Fact:
+    """Return a fact as it is."""
+    return fact
+
+
 def _is_first_state(known: facts.Fact | None, fact: facts.Fact) -> bool:
     """Return whether a fact is the first state of an entry's start."""
     match fact:
--- a/citronjunction/peering/node.py
+++ b/citronjunction/peering/node.py
@@ -113,6 +113,14 @@
         live = {*self.open_links.values(), *self.outbound.values()}
         return self.closed_bytes + sum(link.sent_bytes for link in live)
 
+    def is_read_by(self, state: facts.EntryState, kind: str) -> bool:
+        """Return whether an entry is known to read messages or facts of a kind."""
+        link = self.open_links.get(state.name)
+        if state.name == self.own_name or (link and link.dialect.reads(kind)):
+            return True
+        is_kin = dialects.get_number(state) == messages.OWN_NUMBER
+        return is_kin and messages.OWN_DIALECT.reads(kind)
+
     def choose_targets(self) -> list[str]:
         """Return the addresses to dial, including those already dialled.
 
--- a/tests/support/mixed_system.py
+++ b/tests/support/mixed_system.py
@@ -73,8 +73,12 @@
                 return super().add_gateway(name, zone)
         return super().add_gateway(name, zone)
 
+    def stop(self, name):
+        """Tell a gateway to stop; it finishes its requests first."""
+        self.gateway_hosts[name].on_stop()
+
     def replace(self, name, *, is_old):
-        """Restart a gateway with the old or the present build."""
+        """Start a gateway again with the old or the present build."""
         self.gateway_hosts[name].kill()
         self.old_names.discard(name)
         if is_old:
