Soak: upgrade plays the replacement of entries of one build by another's

Builds come from the repository's history into a temporary folder; entries are real processes that are stopped (one is killed in each direction) and started with the other build, while callers send, an organisation floods, two workers name limits, the store is away once and one entry is cut from it once. Commits that are missing, without a gateway or cut off by a shallow clone: an error, status 2.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 import typer
 from absl import logging
 
-from soak import regressions, running
+from soak import builds, regressions, running, upgrading
 from soak.virtual import playing
 
 app = typer.Typer(add_completion=False)
@@ -57,6 +57,33 @@
     )
 
 
+@app.command()
+def upgrade(
+    commit: Annotated[
+        str, typer.Option('--from', help='commit of the build to start with')
+    ],
+    to: Annotated[
+        str, typer.Option(help='commit of the other build; default: this code')
+    ] = '',
+    back: Annotated[
+        bool, typer.Option(help='go back to that build afterwards')
+    ] = False,
+    seed: Annotated[int, typer.Option(help='first seed')] = 1,
+    runs: Annotated[int, typer.Option(help='number of seeds to run')] = 1,
+    entries: Annotated[
+        int, typer.Option(help='number of gateway processes')
+    ] = 4,
+) -> None:
+    """Replace the entries of an earlier build one by one, under load."""
+    failures = 0
+    with tempfile.TemporaryDirectory() as extracted:
+        old, new = extract_builds(pathlib.Path(extracted), commit, to)
+        for number in range(seed, seed + runs):
+            plan = upgrading.Plan(number, old, new, back, entries)
+            failures += run_upgrade(plan)
+    raise typer.Exit(1 if failures else 0)
+
+
 @app.command()
 def search(
     seed: Annotated[int, typer.Option(help='first seed')] = 1,
@@ -96,14 +123,41 @@
     return report.summarise(), bool(report.violations)
 
 
+def extract_builds(
+    folder: pathlib.Path, old: str, new: str
+) -> tuple[builds.Build, builds.Build]:
+    """Return the builds of two commits; exit with status 2 without them."""
+    try:
+        return (
+            builds.extract(old, folder),
+            builds.extract(new, folder) if new else builds.PRESENT,
+        )
+    except builds.BuildError as error:
+        typer.echo(f'soak upgrade: {error}', err=True)
+        raise typer.Exit(2) from error
+
+
+def run_upgrade(plan: upgrading.Plan) -> bool:
+    """Run an upgrade and print its report; return whether it broke a rule."""
+    folder = make_folder(plan.seed)
+    report = upgrading.Run(plan, folder).upgrade_all()
+    typer.echo(report.summarise())
+    if report.violations:
+        typer.echo(f'  logs: {folder}')
+    return bool(report.violations)
+
+
+def make_folder(seed: int) -> pathlib.Path:
+    """Create the folder for settings and logs of a run."""
+    LOGS.mkdir(parents=True, exist_ok=True)
+    return pathlib.Path(tempfile.mkdtemp(prefix=f'{seed}-', dir=LOGS))
+
+
 def run_plans(plans: list[running.Plan]) -> None:
     """Run plans one after another; exit with status 1 if any fails."""
     failures = 0
     for plan in plans:
-        LOGS.mkdir(parents=True, exist_ok=True)
-        folder = pathlib.Path(
-            tempfile.mkdtemp(prefix=f'{plan.seed}-', dir=LOGS),
-        )
+        folder = make_folder(plan.seed)
         report = running.Run(plan, folder).execute()
         typer.echo(report.summarise())
         if report.violations or report.late:
--- a/soak/builds.py
+++ b/soak/builds.py
@@ -23,6 +23,9 @@
     folder: pathlib.Path
 
 
+PRESENT = Build('the present code', ROOT)
+
+
 def extract(
     commit: str, folder: pathlib.Path, root: pathlib.Path = ROOT
 ) -> Build:
--- a/soak/system.py
+++ b/soak/system.py
@@ -10,7 +10,7 @@
 
 from citronjunction.conf import models as conf
 from citronjunction.transport import http_server, runtime
-from soak import links
+from soak import builds, links
 from tests.support import platform_store, platform_system, platform_worker
 
 ZONES = ('z1', 'z2')
@@ -53,18 +53,22 @@
 
 
 class Entry:
-    """A gateway process with its settings, log and link to the store."""
+    """A gateway process with its settings, log and link to the store.
+
+    ``code`` is the folder of the build that it runs from its next start.
+    """
 
     def __init__(self, name: str, store_link: links.Link, folder: pathlib.Path):
         """Reserve addresses; settings and the log go to the folder."""
         self.name = name
         self.store_link = store_link
-        self.settings = folder / f'{name}.ini'
+        self.settings = folder.resolve() / f'{name}.ini'
         self.log = folder / f'{name}.log'
         address = choose_loopback_address()
         self.ports = {kind: find_free_port(address) for kind in LISTENERS}
         self.process: subprocess.Popen | None = None
         self.is_exit_expected = False
+        self.code = builds.ROOT
 
     def start(self) -> None:
         """Start the process and append its output to the log."""
@@ -78,6 +82,8 @@
                     '--config',
                     str(self.settings),
                 ),
+                cwd=self.code,
+                env={**os.environ, 'PYTHONPATH': str(self.code)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
