Stored leases and usage counts have a format version

Change: leases and usage counts are written with format 1; records without one are read as that. The upgrade soak counts a flooding request once, lets workers name limits only while both builds serve, counts links from when an entry listens, and ends all processes on SIGTERM.

--- a/citronjunction/duties/lease_client.py
+++ b/citronjunction/duties/lease_client.py
@@ -7,7 +7,7 @@
 from citronjunction.duties import models
 from citronjunction.leases import models as leases
 from citronjunction.observability import decisions
-from citronjunction.store import eras, records
+from citronjunction.store import eras, formats, records
 from citronjunction.transport import timer_queue
 
 KIND = 'citron-leases'
@@ -26,6 +26,7 @@
 
     __slots__ = (
         'eras',
+        'formats',
         'has_pending_call',
         'is_peer_holder',
         'is_releasing',
@@ -57,6 +58,7 @@
         self.is_peer_holder = is_peer_holder
         own_name = f'{name}/{uuid.uuid4().hex[:8]}'
         self.lease = leases.Lease(own_name, settings.lease_s, settings.margin_s)
+        self.formats = formats.FormatCheck(KIND)
         self.has_pending_call = False
         self.is_releasing = False
         self.was_held = False
@@ -121,7 +123,7 @@
 
     def _write(self, record: leases.LeaseRecord, expected_version: str) -> None:
         self.has_pending_call = True
-        spec = leases.encode(record)
+        spec = formats.stamp(leases.encode(record))
         if expected_version:
             self.store.replace(
                 KIND,
@@ -137,7 +139,9 @@
         self.has_pending_call = False
         now = self.timers.boot_time()
         match result:
-            case records.Record(spec=spec, revision=revision):
+            case records.Record(spec=spec, revision=revision) if (
+                self.formats.is_known(NAME, spec)
+            ):
                 record = leases.decode(dict(spec))
                 version = self._build_version(revision)
                 self.lease.apply_read(record, version, now)
--- a/citronjunction/duties/reporting.py
+++ b/citronjunction/duties/reporting.py
@@ -10,7 +10,7 @@
 from citronjunction.conf import models as conf
 from citronjunction.duties import clock, models, usage
 from citronjunction.observability import decisions
-from citronjunction.store import records
+from citronjunction.store import formats, records
 
 KIND = 'citron-usage'
 SEND_RESERVE_S = 1.5  # left for writing and sending before a report is due
@@ -32,6 +32,7 @@
         'cloud',
         'doubtful',
         'finished',
+        'formats',
         'has_silent_peer',
         'in_flight',
         'ledger',
@@ -62,6 +63,7 @@
         self.log = log
         self.has_silent_peer = has_silent_peer
         self.on_stored = on_stored
+        self.formats = formats.FormatCheck(KIND)
         self.in_flight: set[int] = set()
         self.finished: set[int] = set()
         self.doubtful: set[int] = set()
@@ -131,7 +133,7 @@
         self.store.create(
             KIND,
             str(window),
-            {'counts': counts},
+            formats.stamp({'counts': counts}),
             lambda result: self._on_written(window, result, get_fence),
         )
 
@@ -161,7 +163,11 @@
     ) -> None:
         match result:
             case records.Record(spec=spec):
-                self._send(window, spec, get_fence)
+                if self.formats.is_known(str(window), spec):
+                    self._send(window, spec, get_fence)
+                else:
+                    self.in_flight.discard(window)
+                    self.finished.add(window)
             case _:
                 self.in_flight.discard(window)
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -140,8 +140,11 @@
 def run_upgrade(plan: upgrading.Plan) -> bool:
     """Run an upgrade and print its report; return whether it broke a rule."""
     folder = make_folder(plan.seed)
-    report = upgrading.Run(plan, folder).upgrade_all()
+    run = upgrading.Run(plan, folder)
+    report = run.upgrade_all()
     typer.echo(report.summarise())
+    if run.is_interrupted:
+        raise typer.Exit(1)
     if report.violations:
         typer.echo(f'  logs: {folder}')
     return bool(report.violations)
--- a/soak/peer_links.py
+++ b/soak/peer_links.py
@@ -11,6 +11,7 @@
 STATE = 3
 INODE = 9
 ESTABLISHED = '01'
+LISTENING = '0A'
 SOCKET = 'socket:['
 Pair = frozenset[str]
 
@@ -28,17 +29,24 @@
         )
     listeners = {entry.ports['control']: entry.name for entry in running}
     pairs: dict[Pair, set[str]] = {}
-    for local, remote, inode in _list_connections():
+    for local, remote, inode in _list_sockets(ESTABLISHED):
         if remote in listeners and inode in owners:
             pair = frozenset((listeners[remote], owners[inode]))
             pairs.setdefault(pair, set()).add(local)
     return pairs
 
 
-def _list_connections() -> abc.Iterator[tuple[str, str, str]]:
+def is_listening(entry: system.Entry) -> bool:
+    """Return whether an entry accepts peer links."""
+    address = entry.ports['control']
+    return any(local == address for local, _, _ in _list_sockets(LISTENING))
+
+
+def _list_sockets(state: str) -> abc.Iterator[tuple[str, str, str]]:
+    """Yield the local and remote address and the inode of sockets."""
     for line in SOCKETS.read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[STATE] == ESTABLISHED:
+        if fields[STATE] == state:
             local, remote = map(_decode, fields[ADDRESSES])
             yield local, remote, fields[INODE]
 
--- a/soak/upgrading.py
+++ b/soak/upgrading.py
@@ -22,8 +22,8 @@
 from tests.support import platform_system
 
 STOP_LIMIT_S = 12.0  # until an entry that was told to stop has ended
-LINK_LIMIT_S = 3.0  # after its start an entry is linked to all others
-SERVING_LIMIT_S = 20.0  # after its start an entry serves
+LINK_LIMIT_S = 3.0  # until a listening entry is linked to all others
+SERVING_LIMIT_S = 20.0  # after the start of its process an entry serves
 HELD_S = 0.5  # a link counts once it has been open for so long
 POLL_S = 0.1
 SETTLE_S = 1.0  # between an entry that serves and the next step
@@ -50,12 +50,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Step:
-    """The replacement of an entry; times are seconds after its start."""
+    """The replacement of an entry.
+
+    ``listening_s`` is the time from the start of the process until it accepts
+    links, which depends on the machine's load; the others are counted from then.
+    """
 
     entry: str
     build: builds.Build
     number: signal.Signals
     started_at: float = 0
+    listening_s: float | None = None
     linked_s: float | None = None
     serving_s: float | None = None
 
@@ -63,6 +68,7 @@
         """Return the step's line in a report."""
         return (
             f'{self.entry} ended by {self.number.name}, now {self.build.name}:'
+            f' listening after {_spell(self.listening_s)},'
             f' linked after {_spell(self.linked_s)},'
             f' serving after {_spell(self.serving_s)}'
         )
@@ -115,7 +121,10 @@
         self.steps_left = iter(self.steps)
         self.holders: list[str] = []
         self.worst_quota = 0
+        self.is_interrupted = False
+        self.loop.on_stop = self._interrupt
         self.limited_at: float = 0
+        self.limited_until: float = 0
         self.seen_at: dict[tuple[peer_links.Pair, str], float] = {}
         self.flood_numbers = itertools.count(1)
         for entry in self.system.entries.values():
@@ -144,14 +153,16 @@
     def _start_faults(self) -> None:
         self.traffic.start()
         self._flood()
-        self.limited_at = self.loop.timers.now()
-        for name in LIMITED:
-            worker = self.system.workers[name]
-            worker.behaviour.limit = str(LIMIT)
         self._watch()
         self._schedule_outages()
         self.loop.timers.call_later(SETTLE_S * 2, self._begin_step)
 
+    def _interrupt(self) -> None:
+        """End the run and all processes, as a signal asks."""
+        self.is_interrupted = True
+        self.violations.append('interrupted')
+        self.loop.stop_loop()
+
     def _schedule_outages(self) -> None:
         """Take the store away once, and cut one entry from it once."""
         source = random.Random(f'outages {self.upgrade.seed}')
@@ -174,6 +185,8 @@
 
     def _begin_step(self) -> None:
         step = next(self.steps_left, None)
+        if step is self.steps[-1] and self.upgrade.is_back:
+            self._name_limits('')
         if step is None:
             self.system.store.is_down = False
             self._heal_faults()
@@ -201,8 +214,13 @@
 
     def _has_started(self, step: Step) -> bool:
         passed_s = self.loop.timers.now() - step.started_at
+        if step.listening_s is None:
+            if not peer_links.is_listening(self.system.entries[step.entry]):
+                return False
+            step.listening_s = passed_s
+        passed_s -= step.listening_s
         if step.linked_s is None and self._is_linked(step.entry):
-            step.linked_s = passed_s - HELD_S
+            step.linked_s = max(0, passed_s - HELD_S)
         if step.serving_s is None:
             self._probe(step.entry)
             if self.successes[step.entry]:
@@ -214,8 +232,23 @@
             self.violations.append(
                 f'{step.entry} was linked after {step.linked_s:.1f} s'
             )
+        if step is self.steps[0]:
+            self._name_limits(str(LIMIT))
         self.loop.timers.call_later(SETTLE_S, self._begin_step)
 
+    def _name_limits(self, limit: str) -> None:
+        """Let workers name a limit while entries of the new build serve.
+
+        The old build may know no limits.
+        """
+        now = self.loop.timers.now()
+        if limit:
+            self.limited_at = now
+        self.limited_until = float('inf') if limit else now
+        for name in LIMITED:
+            worker = self.system.workers[name]
+            worker.behaviour.limit = limit
+
     def _await(
         self,
         condition: abc.Callable[[], bool],
@@ -282,26 +315,35 @@
         self.loop.timers.call_later(1 / FLOOD_PER_S, self._flood)
 
     def _check_bounds(self) -> None:
-        flood = []
+        flood: dict[str, float] = {}  # first arrival of each request
         for worker in self.system.list_workers():
             if worker.name in LIMITED:
                 self.violations.extend(
                     bounds.check_limit(
-                        worker.name, worker.arrived_at, LIMIT, self.limited_at
+                        worker.name,
+                        self._select_limited(worker.arrived_at),
+                        LIMIT,
+                        self.limited_at,
                     )
                 )
-            flood.extend(
-                at
-                for at, request in zip(
-                    worker.arrived_at, worker.arrivals, strict=True
-                )
-                if request.headers['attempt-id'].startswith('flood')
-            )
-        self.worst_quota = bounds.count_worst(flood, bounds.QUOTA_WINDOW_S)
+            for at, request in zip(
+                worker.arrived_at, worker.arrivals, strict=True
+            ):
+                name = request.headers['attempt-id']
+                if name.startswith('flood'):
+                    flood[name] = min(at, flood.get(name, at))
+        self.worst_quota = bounds.count_worst(
+            flood.values(), bounds.QUOTA_WINDOW_S
+        )
         self.violations.extend(
             bounds.check_quota('other', self.worst_quota, RATE_PER_S, BURST)
         )
 
+    def _select_limited(self, times: abc.Iterable[float]) -> list[float]:
+        return [
+            at for at in times if self.limited_at <= at < self.limited_until
+        ]
+
     def _check_logs(self) -> None:
         for entry in self.system.entries.values():
             lines = entry.log.read_text(errors='replace').splitlines()
