--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -68,6 +68,9 @@
     back: Annotated[
         bool, typer.Option(help='go back to that build afterwards')
     ] = False,
+    planned: Annotated[
+        bool, typer.Option(help='kill no entry, and cut nothing')
+    ] = False,
     seed: Annotated[int, typer.Option(help='first seed')] = 1,
     runs: Annotated[int, typer.Option(help='number of seeds to run')] = 1,
     entries: Annotated[
@@ -79,7 +82,7 @@
     with tempfile.TemporaryDirectory() as extracted:
         old, new = extract_builds(pathlib.Path(extracted), commit, to)
         for number in range(seed, seed + runs):
-            plan = upgrading.Plan(number, old, new, back, entries)
+            plan = upgrading.Plan(number, old, new, back, entries, planned)
             failures += run_upgrade(plan)
     raise typer.Exit(1 if failures else 0)
 
--- a/soak/bounds.py
+++ b/soak/bounds.py
@@ -3,8 +3,6 @@
 import bisect
 from collections import abc
 
-from tests.support import platform_system
-
 LIMIT_WINDOW_S = 4.0
 LIMIT_TOLERANCE = 1.5
 LIMIT_SLACK = 5  # requests in a window
@@ -48,13 +46,3 @@
         ),
         default=0,
     )
-
-
-def make_quota(rate_per_s: float, burst: float) -> dict[str, object]:
-    """Return an organisation of the configuration with a quota."""
-    return {
-        'name': 'other',
-        'apiKeys': [platform_system.KEY_FORMAT.format('other')],
-        'ratePerS': rate_per_s,
-        'burst': burst,
-    }
--- a/soak/upgrading.py
+++ b/soak/upgrading.py
@@ -38,14 +38,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Plan:
-    """An upgrade from one build to another, and back if wanted."""
+    """An upgrade from one build to another, and back if wanted.
+
+    ``is_planned`` means that no entry is killed and nothing is cut.
+    """
 
     seed: int
     old: builds.Build
     new: builds.Build
     is_back: bool = False
     entries: int = 4
-    serving: int = 12
+    is_planned: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -129,7 +132,8 @@
         self.flood_numbers = itertools.count(1)
         for entry in self.system.entries.values():
             entry.code = plan.old.folder
-        self.system.configuration['tenants'][1] = bounds.make_quota(
+        organisations = self.system.configuration['tenants']
+        organisations[1] = platform_system.make_limited_organisation(
             RATE_PER_S, BURST
         )
         self.system.configure()
@@ -154,7 +158,8 @@
         self.traffic.start()
         self._flood()
         self._watch()
-        self._schedule_outages()
+        if not self.upgrade.is_planned:
+            self._schedule_outages()
         self.loop.timers.call_later(SETTLE_S * 2, self._begin_step)
 
     def _interrupt(self) -> None:
@@ -358,14 +363,15 @@
 def draw_steps(plan: Plan, names: list[str]) -> list[Step]:
     """Return the replacements of a run; they follow from the seed alone.
 
-    In each direction one entry is killed and the others are told to stop.
+    In each direction one entry is killed, unless the run is planned, and the
+    others are told to stop.
     """
     source = random.Random(plan.seed)
     targets = [plan.new, plan.old] if plan.is_back else [plan.new]
     steps = []
     for target in targets:
         ordered = source.sample(names, len(names))
-        killed = source.choice(ordered)
+        killed = '' if plan.is_planned else source.choice(ordered)
         steps.extend(
             Step(
                 name,
--- a/tests/peering/test_mixed_bounds.py
+++ b/tests/peering/test_mixed_bounds.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from citronjunction.membership import facts
 from tests.golden import old_reader
 from tests.support import mixed_system
 
@@ -94,3 +95,110 @@
     )
 
     assert count_worst(arrived, QUOTA_WINDOW_S) <= QUOTA_ALLOWED
+
+
+def get_gateways(deployed, *, is_old):
+    return [
+        gateway
+        for name, gateway in deployed.gateways.items()
+        if (name in deployed.old_names) is is_old
+    ]
+
+
+# Guards against BRITTLE in an upgrade: an old entry takes the places of brittle
+# workers without regard to others, so the new ones leave it its part.
+@pytest.mark.parametrize('old_count', range(1, ENTRIES))
+def test_new_entries_leave_old_ones_their_parts_of_places(old_count):
+    deployed = build('257d141', old_count)
+    press(deployed, 5, '/safe/x')
+    worker = deployed.workers['app-0']
+    start_key = (
+        deployed.gateways['gateway-6']
+        .services.fleet.workers[worker.name]
+        .registration.start_key
+    )
+
+    for gateway in get_gateways(deployed, is_old=False):
+        turn = gateway.services.fleet.brittleness.get_turn(
+            start_key, deployed.world.now
+        )
+        assert turn.entries == ENTRIES
+        assert turn.known_share <= (ENTRIES - old_count) / ENTRIES
+
+
+# Guards against requests that an old entry would count twice.
+def test_requests_are_forwarded_to_entries_that_know_marks_only():
+    deployed = build('257d141', 4)
+    for gateway in get_gateways(deployed, is_old=False):
+        forwarder = gateway.services.forwarder
+        names = {entry.name for entry in forwarder.select_live()}
+        assert names == {'gateway-4', 'gateway-5', 'gateway-6'}
+
+
+# Guards against BUDGET in an upgrade.
+@pytest.mark.parametrize('commit', old_reader.BUILDS)
+@pytest.mark.parametrize('old_count', [1, 3, 6])
+def test_the_retry_budget_holds_in_mixed_fleets(commit, old_count):
+    deployed = build(commit, old_count)
+    for worker in deployed.workers.values():
+        worker.behaviour.failures_left = 100_000
+    answers = press(deployed, 20, '/safe/x')
+    deployed.world.run(1)
+    arrivals = sum(len(worker.arrivals) for worker in deployed.workers.values())
+
+    assert arrivals - len(answers) <= 0.2 * len(answers) + 50
+
+
+# Parts refused, withdrawn versions and leaving workers, by fact.
+SHARED = {
+    'suspect_part/7': lambda now: facts.SuspectPart(
+        7, (('app-0/1000', now - 1, now), ('app-1/1000', now - 1, now)), 0
+    ),
+    'suspect/7': lambda now: facts.SuspectRequest(7, ('app-0',), now),
+    'withdrawn/app/v2': lambda now: facts.WithdrawnVersion(
+        'app', 'v2', 3, 'fails'
+    ),
+    'leaving_worker/app-0/1000': lambda now: facts.LeavingWorker(
+        'app-0', 1000, now
+    ),
+    'stored_usage/7': lambda now: facts.StoredUsage(7, {'org': 3}, now),
+}
+
+
+@pytest.mark.parametrize('commit', old_reader.BUILDS)
+@pytest.mark.parametrize('key', SHARED)
+@pytest.mark.parametrize('origin', ['gateway-0', 'gateway-6'])
+def test_what_old_entries_know_reaches_all_in_both_directions(
+    commit, key, origin
+):
+    deployed = build(commit, 3)
+    peers = deployed.gateways[origin].peers
+    own = facts
+    if origin in deployed.old_names:
+        own = deployed.code.facts
+    now = peers.loop.timers.wall_time()
+    fact = SHARED[key](now)
+    fields = {name: getattr(fact, name) for name in fact.__dataclass_fields__}
+    peers.publish(getattr(own, type(fact).__name__)(**fields))
+    deployed.world.run(2)
+
+    for gateway in deployed.gateways.values():
+        assert key in gateway.peers.table.facts_by_key
+
+
+# Guards against CONFIG in an upgrade: entries without the store get copies.
+@pytest.mark.parametrize('commit', old_reader.BUILDS)
+@pytest.mark.parametrize('is_old', [False, True])
+def test_configuration_is_copied_between_builds(commit, is_old):
+    deployed = build(commit, 3 if is_old else 4)
+    deployed.configure()
+    deployed.world.run(2)
+    name = 'gateway-3'
+    deployed.world.partition([name], ['platform'])
+    deployed.replace(name, is_old=not is_old)
+    deployed.world.run(5)
+
+    assert (
+        deployed.gateways[name].services.configuration.version
+        == deployed.configuration['version']
+    )
--- a/tests/support/mixed_system.py
+++ b/tests/support/mixed_system.py
@@ -22,6 +22,9 @@
             self.command = importlib.import_module(
                 'citronjunction.commands.gateway'
             )
+            self.facts = importlib.import_module(
+                'citronjunction.membership.facts'
+            )
             self.virtual = importlib.import_module('tests.support.virtual')
             for name in ('observability.metrics', 'gateway.fleet'):
                 importlib.import_module(f'citronjunction.{name}')
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -60,6 +60,16 @@
     }
 
 
+def make_limited_organisation(rate_per_s, burst):
+    """Return the second organisation with a quota."""
+    return {
+        'name': 'other',
+        'apiKeys': [KEY_FORMAT.format('other')],
+        'ratePerS': rate_per_s,
+        'burst': burst,
+    }
+
+
 def make_scaled_upstream(prices, minimum=1, maximum=3):
     """Return the upstream of the streams with limits for its workers."""
     return {
