Soak: the listeners of an entry get different ports

Change: all ports of an entry are bound before any is given back.

Evidence: 500 listeners get 500 ports.

--- a/soak/system.py
+++ b/soak/system.py
@@ -1,5 +1,6 @@
 """Gateway processes, and stand-ins of the platform and its workers."""
 
+import contextlib
 import itertools
 import os
 import pathlib
@@ -65,7 +66,7 @@
         self.settings = folder.resolve() / f'{name}.ini'
         self.log = folder / f'{name}.log'
         address = choose_loopback_address()
-        self.ports = {kind: find_free_port(address) for kind in LISTENERS}
+        self.ports = find_free_ports(address)
         self.process: subprocess.Popen | None = None
         self.is_exit_expected = False
         self.code = builds.ROOT
@@ -224,8 +225,15 @@
     return f'127.{16 + process % 200}.{number + 1}.{next(HOST_NUMBERS)}'
 
 
-def find_free_port(address: str) -> str:
-    """Return a free port of a loopback address."""
-    with socket.socket() as sock:
-        sock.bind((address, 0))
-        return f'{address}:{sock.getsockname()[1]}'
+def find_free_ports(address: str) -> dict[str, str]:
+    """Return free ports of a loopback address, a different one per listener."""
+    with contextlib.ExitStack() as stack:
+        bound = {
+            kind: stack.enter_context(socket.socket()) for kind in LISTENERS
+        }
+        for sock in bound.values():
+            sock.bind((address, 0))
+        return {
+            kind: f'{address}:{sock.getsockname()[1]}'
+            for kind, sock in bound.items()
+        }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak import callers, faults, invariants, running
+from soak import callers, faults, invariants, running, system
 
 
 def make_request(kind='unsafe', **fields):
@@ -76,6 +76,15 @@
     assert invariants.check_deadlines(traffic, [elsewhere])
 
 
+def test_the_listeners_of_an_entry_have_different_ports(monkeypatch):
+    monkeypatch.setattr(
+        system, 'LISTENERS', [f'listener-{number}' for number in range(500)]
+    )
+    ports = system.find_free_ports('127.0.0.1')
+
+    assert len(set(ports.values())) == 500
+
+
 def test_a_short_run_violates_no_invariant(tmp_path):
     plan = running.Plan(3, seconds=6.0, entries=2)
     report = running.Run(plan, tmp_path).execute()
