--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -96,12 +96,18 @@
         float, typer.Option(help='duration of the fault phase')
     ] = 30.0,
     jobs: Annotated[int, typer.Option(help='processes to use')] = 4,
+    commit: Annotated[
+        str, typer.Option('--from', help='commit of a build to upgrade from')
+    ] = '',
 ) -> None:
     """Run consecutive seeds in virtual time; a seed always plays the same."""
     fix_hash_seed()
+    if commit:
+        with tempfile.TemporaryDirectory() as extracted:
+            extract_builds(pathlib.Path(extracted), commit, '')
     logging.set_verbosity(logging.ERROR)
     plans = [
-        playing.Plan(number, entries, seconds)
+        playing.Plan(number, entries, seconds, commit)
         for number in range(seed, seed + runs)
     ]
     failures = 0
@@ -136,7 +142,7 @@
             builds.extract(new, folder) if new else builds.PRESENT,
         )
     except builds.BuildError as error:
-        typer.echo(f'soak upgrade: {error}', err=True)
+        typer.echo(f'soak: {error}', err=True)
         raise typer.Exit(2) from error
 
 
--- a/soak/virtual/injecting.py
+++ b/soak/virtual/injecting.py
@@ -141,7 +141,7 @@
         host.kill()
         self._disturb(name, RESTART_S)
         self.deployed.caller_host.timers.call_later(
-            RESTART_S, lambda: self.deployed.add_gateway(name)
+            RESTART_S, lambda: self.deployed.start_again(name)
         )
 
     def _replace_worker(self, name: str) -> None:
--- a/soak/virtual/playing.py
+++ b/soak/virtual/playing.py
@@ -4,8 +4,15 @@
 import functools
 
 from citronjunction.transport import sockets
-from soak.virtual import callers, drawing, history, injecting, rules
-from tests.support import platform_system
+from soak.virtual import (
+    callers,
+    drawing,
+    history,
+    injecting,
+    replacing,
+    rules,
+)
+from tests.support import mixed_system, platform_system
 
 MS_PER_S = 1000
 TICK_S = 0.02
@@ -15,11 +22,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Plan:
-    """A run: faults begin within ``seconds``."""
+    """A run: faults begin within ``seconds``.
+
+    If ``old`` names a commit, the entries start with its build and are replaced
+    one after the other meanwhile.
+    """
 
     seed: int
     entries: int = 5
     seconds: float = 30.0
+    old: str = ''
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -49,6 +61,9 @@
 def build(plan: Plan) -> platform_system.PlatformSystem:
     """Start the gateways and workers of a run."""
     deployed = platform_system.LinkedSystem(plan.seed)
+    if plan.old:
+        names = [f'gateway-{number}' for number in range(plan.entries)]
+        deployed = mixed_system.MixedSystem(plan.old, names, plan.seed)
     deployed.world.user_timeout_s = sockets.USER_TIMEOUT_MS / MS_PER_S
     deployed.build(workers=WORKERS, gateways=plan.entries)
     for worker in deployed.workers.values():
@@ -68,6 +83,8 @@
             fault.starts_at,
             functools.partial(injector.inject, fault),
         )
+    if plan.old:
+        replacing.schedule(deployed, record, plan.seconds)
     end = deployed.world.now + plan.seconds + SETTLE_S
     while deployed.world.now < end:
         traffic.send_due()
--- a/tests/soak/virtual/test_playing.py
+++ b/tests/soak/virtual/test_playing.py
@@ -33,6 +33,13 @@
     assert searched.stdout.count('first tries served') == 8
 
 
+def test_short_runs_with_an_upgrade_violate_no_invariant():
+    for seed in (1, 2, 3):
+        report = playing.play(playing.Plan(seed, seconds=20, old='f5a3360'))
+        assert not report.violations, report.summarise()
+        assert len(report.record.requests) > 1000
+
+
 def find_violation(rule, seeds):
     """Return whether a run of the seeds violates a rule."""
     return any(
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -252,6 +252,11 @@
         self.gateway_hosts[name] = host
         return node
 
+    def start_again(self, name):
+        """Start a gateway whose host was killed, unless it runs again."""
+        if not self.gateway_hosts[name].is_alive:
+            self.add_gateway(name)
+
     def build(self, workers=2, gateways=1):
         """Start workers and gateways and run for 3 s until they are ready."""
         self.store.put('config', 'main', self.configuration)
