--- a/citronjunction/duties/checkpoint.py
+++ b/citronjunction/duties/checkpoint.py
@@ -16,6 +16,7 @@
 NAME = 'use'
 WRITE_INTERVAL_S = 1.0  # bounds the use that is lost if all entries end
 MIN_WRITE_INTERVAL_S = 0.25  # limits the number of writes in a flood
+IDLE_WRITE_INTERVAL_S = 5.0  # while no request begins
 READ_RETRY_S = 0.5  # delay of the next read while the store is unavailable
 MAX_LOGGED = 24  # organisations in a log line, those with the highest use
 
@@ -29,6 +30,7 @@
         'has_pending_call',
         'is_certified',
         'is_read',
+        'is_use_restored',
         'ledger',
         'log',
         'quotas',
@@ -36,6 +38,7 @@
         'store',
         'timers',
         'written_at',
+        'written_counts',
     )
 
     def __init__(
@@ -56,6 +59,9 @@
         self.eras = store_eras
         self.log = log
         self.has_pending_call = False
+        # Whether the use before this start was read. What is in the store must
+        # not be replaced before that.
+        self.is_use_restored = False
         self.invalidate()
         store_eras.subscribe(self.invalidate)
 
@@ -69,6 +75,7 @@
         # Whether the store has lost nothing since the checkpoint was written.
         self.is_certified = False
         self.revision = 0
+        self.written_counts: usage.Snapshot = {}
         self.written_at: float = 0
 
     def step(self, *, may_write: bool) -> None:
@@ -77,26 +84,31 @@
         Its era certifies that the store has all usage reports of earlier
         windows, so it is only written once ``may_write`` says so.
         """
-        if self.has_pending_call:
+        if self.has_pending_call or not self.is_use_restored:
             return
         if not self.is_read:
             self.has_pending_call = True
             self.store.read(KIND, NAME, self._on_read)
             return
         waited_s = self.timers.now() - self.written_at
-        interval_s = WRITE_INTERVAL_S
-        if self.quotas.has_unsaved_use():
-            interval_s = MIN_WRITE_INTERVAL_S
-        if waited_s >= interval_s and may_write:
+        if waited_s >= self._get_interval_s() and may_write:
             self._write()
 
+    def _get_interval_s(self) -> float:
+        if self.quotas.has_unsaved_use():
+            return MIN_WRITE_INTERVAL_S
+        is_idle = self.ledger.export() == self.written_counts
+        return IDLE_WRITE_INTERVAL_S if is_idle else WRITE_INTERVAL_S
+
     def _write(self) -> None:
+        counts = self.ledger.export()
         self.has_pending_call = True
+        self.written_counts = counts
         self.written_at = self.timers.now()
         spec = {
             'at': self.clock.now(),
             'era': self.eras.current,
-            'begun': self.ledger.export(),
+            'begun': counts,
             'used': self.quotas.export(self.timers.now()),
             'entries': self.quotas.peers.count_live(),
             'totals': self._encode_totals(),
@@ -114,6 +126,7 @@
             self.store.create(KIND, NAME, spec, self._on_written)
 
     def _on_start_read(self, result: records.ReadResult) -> None:
+        self.is_use_restored = not isinstance(result, records.Unavailable)
         match result:
             case records.Record(spec=spec):
                 saved = self._read_use(spec)
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -12,6 +12,9 @@
 import pydantic
 
 MS_PER_S = 1000
+KEY_SEPARATOR = '/'
+LIMITED_SENDS = 'limited_sends'
+LOST_UPSTREAMS = 'lost_upstreams'
 
 Version = tuple[int, int]
 Text = Annotated[str, pydantic.Field(max_length=256)]
@@ -192,7 +195,7 @@
     sequence: int
     sends: dict[str, int]
     sent_at: float
-    kind: Literal['limited_sends'] = 'limited_sends'
+    kind: Literal['limited_sends'] = LIMITED_SENDS
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -209,7 +212,7 @@
     upstreams: tuple[Text, ...]
     is_cut_off: bool
     noticed_at: float
-    kind: Literal['lost_upstreams'] = 'lost_upstreams'
+    kind: Literal['lost_upstreams'] = LOST_UPSTREAMS
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -303,7 +306,7 @@
 def get_key(fact: Fact) -> str:
     """Return the key of the subject that the fact describes."""
     values = [str(getattr(fact, name)) for name in KEY_FIELDS[type(fact)]]
-    return '/'.join((fact.kind, *values))
+    return KEY_SEPARATOR.join((fact.kind, *values))
 
 
 def get_version(fact: Fact) -> Version:
--- a/citronjunction/membership/gossip.py
+++ b/citronjunction/membership/gossip.py
@@ -3,8 +3,9 @@
 import dataclasses
 import enum
 import random
+from collections import abc
 
-from citronjunction.membership import facts, messages, table
+from citronjunction.membership import dialects, facts, messages, table
 
 MAX_FACTS_PER_MESSAGE = 200
 MAX_KEYS_PER_DIGEST = 2000
@@ -13,6 +14,9 @@
 PERIODIC = (facts.EntryState, facts.LoadState, facts.LimitedSends)
 
 
+Adapt = abc.Callable[[facts.Fact, dialects.Dialect], facts.Fact]
+
+
 class Forwarding(enum.Enum):
     """Links over which a node forwards periodic facts of other nodes.
 
@@ -35,8 +39,12 @@
 
 @dataclasses.dataclass(slots=True)
 class LinkState:
-    """Versions that the peer is known to have, and keys to send to it."""
+    """Versions that the peer is known to have, and keys to send to it.
+
+    Keys of facts that the peer does not read stay pending.
+    """
 
+    dialect: dialects.Dialect
     known: dict[str, facts.Version] = dataclasses.field(default_factory=dict)
     pending: set[str] = dataclasses.field(default_factory=set)
 
@@ -44,7 +52,7 @@
 class GossipProtocol:
     """Send new facts once over each link, and repair losses by digests."""
 
-    __slots__ = ('forwarding', 'links', 'random', 'serving', 'table')
+    __slots__ = ('adapt', 'forwarding', 'links', 'random', 'serving', 'table')
 
     def __init__(
         self,
@@ -54,14 +62,29 @@
         self.table = facts_table
         self.random = source
         self.forwarding = Forwarding.everywhere
+        # Returns a fact as it is sent to a peer that reads a dialect.
+        self.adapt: Adapt = _keep
         self.serving: frozenset[str] = frozenset()
         self.links: dict[str, LinkState] = {}
 
-    def open_link(self, name: str) -> list[Outgoing]:
-        """Start to use a link; return the digest that each side sends first."""
-        self.links[name] = LinkState()
+    def open_link(
+        self,
+        name: str,
+        dialect: dialects.Dialect = messages.OWN_DIALECT,
+    ) -> list[Outgoing]:
+        """Start to use a link; return the digest that each side sends first.
+
+        ``dialect`` is what the peer reads.
+        """
+        self.links[name] = LinkState(dialect)
         return self._build_digest(name)
 
+    def set_dialect(self, name: str, dialect: dialects.Dialect) -> None:
+        """Set what the peer of an open link reads."""
+        link = self.links.get(name)
+        if link is not None:
+            link.dialect = dialect
+
     def close_link(self, name: str) -> None:
         """Stop using a link."""
         self.links.pop(name, None)
@@ -115,6 +138,7 @@
             key
             for key, version in message.versions.items()
             if own.get(key, (-1, 0)) < version
+            and messages.OWN_DIALECT.reads_key(key)
         ]
         if not wanted:
             return []
@@ -213,16 +237,21 @@
             if fact is None:
                 link.pending.discard(key)
                 continue
-            if isinstance(fact, excluded):
+            if isinstance(fact, excluded) or not link.dialect.reads(fact.kind):
                 continue
             link.pending.discard(key)
             version = facts.get_version(fact)
             if link.known.get(key, (-1, 0)) < version:
                 link.known[key] = version
-                chosen.append(fact)
+                chosen.append(self.adapt(fact, link.dialect))
         return chosen
 
 
+def _keep(fact: facts.Fact, dialect: dialects.Dialect) -> facts.Fact:
+    """Return a fact as it is."""
+    return fact
+
+
 def _is_first_state(known: facts.Fact | None, fact: facts.Fact) -> bool:
     """Return whether a fact is the first state of an entry's start."""
     match fact:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,11 +11,12 @@
 import typer
 from absl import logging
 
-from soak import regressions, running
+from soak import builds, regressions, running, upgrading
 from soak.virtual import drawing, playing, served
 
 app = typer.Typer(add_completion=False)
 HASH_SEED = 'PYTHONHASHSEED'
+UPGRADE_DRAW = 1  # in which entries keep their names
 LOGS = pathlib.Path('build') / 'soak'
 
 
@@ -57,6 +58,36 @@
     )
 
 
+@app.command()
+def upgrade(
+    commit: Annotated[
+        str, typer.Option('--from', help='commit of the build to start with')
+    ],
+    to: Annotated[
+        str, typer.Option(help='commit of the other build; default: this code')
+    ] = '',
+    back: Annotated[
+        bool, typer.Option(help='go back to that build afterwards')
+    ] = False,
+    planned: Annotated[
+        bool, typer.Option(help='kill no entry, and cut nothing')
+    ] = False,
+    seed: Annotated[int, typer.Option(help='first seed')] = 1,
+    runs: Annotated[int, typer.Option(help='number of seeds to run')] = 1,
+    entries: Annotated[
+        int, typer.Option(help='number of gateway processes')
+    ] = 4,
+) -> None:
+    """Replace the entries of an earlier build one by one, under load."""
+    failures = 0
+    with tempfile.TemporaryDirectory() as extracted:
+        old, new = extract_builds(pathlib.Path(extracted), commit, to)
+        for number in range(seed, seed + runs):
+            plan = upgrading.Plan(number, old, new, back, entries, planned)
+            failures += run_upgrade(plan)
+    raise typer.Exit(1 if failures else 0)
+
+
 @app.command()
 def search(
     seed: Annotated[int, typer.Option(help='first seed')] = 1,
@@ -72,13 +103,26 @@
     only: Annotated[
         str, typer.Option(help='positions of the faults to play, from 0')
     ] = '',
+    commit: Annotated[
+        str, typer.Option('--from', help='commit of a build to upgrade from')
+    ] = '',
 ) -> None:
     """Run consecutive seeds in virtual time; a seed always plays the same."""
     fix_hash_seed()
+    if commit:
+        with tempfile.TemporaryDirectory() as extracted:
+            extract_builds(pathlib.Path(extracted), commit, '')
     logging.set_verbosity(logging.ERROR)
     chosen = tuple(int(number) for number in only.split(',') if number)
     plans = [
-        playing.Plan(number, entries, seconds, draw, only=chosen)
+        playing.Plan(
+            number,
+            entries,
+            seconds,
+            UPGRADE_DRAW if commit else draw,
+            only=chosen,
+            old=commit,
+        )
         for number in range(seed, seed + runs)
     ]
     failures = 0
@@ -127,14 +171,44 @@
     return report.summarise(), bool(report.violations)
 
 
+def extract_builds(
+    folder: pathlib.Path, old: str, new: str
+) -> tuple[builds.Build, builds.Build]:
+    """Return the builds of two commits; exit with status 2 without them."""
+    try:
+        return (
+            builds.extract(old, folder),
+            builds.extract(new, folder) if new else builds.PRESENT,
+        )
+    except builds.BuildError as error:
+        typer.echo(f'soak: {error}', err=True)
+        raise typer.Exit(2) from error
+
+
+def run_upgrade(plan: upgrading.Plan) -> bool:
+    """Run an upgrade and print its report; return whether it broke a rule."""
+    folder = make_folder(plan.seed)
+    run = upgrading.Run(plan, folder)
+    report = run.upgrade_all()
+    typer.echo(report.summarise())
+    if run.is_interrupted:
+        raise typer.Exit(1)
+    if report.violations:
+        typer.echo(f'  logs: {folder}')
+    return bool(report.violations)
+
+
+def make_folder(seed: int) -> pathlib.Path:
+    """Create the folder for settings and logs of a run."""
+    LOGS.mkdir(parents=True, exist_ok=True)
+    return pathlib.Path(tempfile.mkdtemp(prefix=f'{seed}-', dir=LOGS))
+
+
 def run_plans(plans: list[running.Plan]) -> None:
     """Run plans one after another; exit with status 1 if any fails."""
     failures = 0
     for plan in plans:
-        LOGS.mkdir(parents=True, exist_ok=True)
-        folder = pathlib.Path(
-            tempfile.mkdtemp(prefix=f'{plan.seed}-', dir=LOGS),
-        )
+        folder = make_folder(plan.seed)
         report = running.Run(plan, folder).execute()
         typer.echo(report.summarise())
         if report.violations or report.late:
--- a/soak/virtual/outages.py
+++ b/soak/virtual/outages.py
@@ -44,7 +44,7 @@
         """End an entry and start it again later."""
         if self._end(name, after_s):
             self.timers.call_later(
-                after_s, functools.partial(self.deployed.add_gateway, name)
+                after_s, functools.partial(self.deployed.start_again, name)
             )
 
     def freeze(self, name: str, seconds: float) -> None:
@@ -74,7 +74,7 @@
             return
         self._disturb(name, after_s)
         self.timers.call_later(
-            after_s, functools.partial(self.deployed.add_gateway, name)
+            after_s, functools.partial(self.deployed.start_again, name)
         )
 
     def _end(self, name: str, after_s: float) -> bool:
--- a/soak/virtual/playing.py
+++ b/soak/virtual/playing.py
@@ -9,10 +9,11 @@
     drawing,
     history,
     injecting,
+    replacing,
     rules,
     tenancy,
 )
-from tests.support import platform_system
+from tests.support import mixed_system, platform_system
 
 MS_PER_S = 1000
 TICK_S = 0.02
@@ -27,6 +28,9 @@
 
     ``quota_slack`` is a share of the limit that may be used beyond it. With
     ``only``, faults with other positions in the draw are left out.
+
+    If ``old`` names a commit, the entries start with its build and are replaced
+    one after the other meanwhile.
     """
 
     seed: int
@@ -35,6 +39,7 @@
     draw: int = drawing.CURRENT
     quota_slack: float = FAULTY_SLACK
     only: tuple[int, ...] = ()
+    old: str = ''
 
     @property
     def has_quotas(self) -> bool:
@@ -69,6 +74,9 @@
 def build(plan: Plan) -> platform_system.PlatformSystem:
     """Start the gateways and workers of a run."""
     deployed = platform_system.LinkedSystem(plan.seed)
+    if plan.old:
+        names = [f'gateway-{number}' for number in range(plan.entries)]
+        deployed = mixed_system.MixedSystem(plan.old, names, plan.seed)
     deployed.world.user_timeout_s = sockets.USER_TIMEOUT_MS / MS_PER_S
     if plan.has_quotas:
         deployed.configuration['tenants'] = tenancy.make_tenants({})
@@ -110,6 +118,8 @@
             fault.starts_at,
             functools.partial(injector.inject, fault),
         )
+    if plan.old:
+        replacing.schedule(deployed, record, plan.seconds)
     end = deployed.world.now + plan.seconds + SETTLE_S
     while deployed.world.now < end:
         traffic.send_due()
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -60,6 +60,16 @@
     }
 
 
+def make_limited_organisation(rate_per_s, burst):
+    """Return the second organisation with a quota."""
+    return {
+        'name': 'other',
+        'apiKeys': [KEY_FORMAT.format('other')],
+        'ratePerS': rate_per_s,
+        'burst': burst,
+    }
+
+
 def make_scaled_upstream(prices, minimum=1, maximum=3):
     """Return the upstream of the streams with limits for its workers."""
     return {
@@ -260,6 +270,11 @@
         self.gateway_hosts[name] = host
         return node
 
+    def start_again(self, name):
+        """Start a gateway whose host was killed, unless it runs again."""
+        if not self.gateway_hosts[name].is_alive:
+            self.add_gateway(name)
+
     def build(self, workers=2, gateways=1):
         """Start workers and gateways and run for 3 s until they are ready."""
         self.store.put('config', 'main', self.configuration)
