Gateway: leave cut-off entries out of the division of brittle workers' places

Cause: the places of brittle workers were divided among all serving entries. In the trace every entry counted 5 parts while two at most reached workers: at 18 and 19 s these two were denied a place at workers with 2 or 3 of 6 in use.

Change (place_division.py): an entry that is heard and has reported an upstream as lost for 1 s has no part of its places. Only existing facts are used. - An entry that lost the upstream, or has reached it again for less than 2 s, uses no part, only places that leave one for each entry. By then its peers know, or have not heard it for 1 s (1.5 s with 12 serving entries) and keep its part for it again. - For 10 s after a change a part is used only where the known requests leave a place, since requests of the former users may still run. - While entries are left out, no places beyond the parts are used.

Cost: entries that return serve little under overload for 2 s. If all entries were cut off at once this wait protects nothing, since nobody used their places; it is not left out yet.

--- a/citronjunction/gateway/brittleness.py
+++ b/citronjunction/gateway/brittleness.py
@@ -93,8 +93,10 @@
     def has_place(self, start_key: str, places: Places, now: float) -> bool:
         """Return whether this entry may send a request to a brittle worker.
 
-        It has a share of the places. Beyond it, there must be one for each
-        entry, as the others may take theirs at the same time.
+        It has a share of the places, for which there must be room if others
+        used it lately. Beyond it, there must be one for each entry, as the
+        others may take theirs at the same time; if all places belong to some
+        entries only, no unused parts make up for late reports.
         """
         turn = self.get_turn(start_key, now)
         room: float = places.slots
@@ -104,5 +106,8 @@
         room = math.floor(room * turn.known_share)
         share, rest = divmod(room, turn.entries)
         share += turn.position < rest
+        has_room = places.total_running + turn.spare <= room
+        has_share = places.own_running < share and (has_room or not turn.spare)
         is_shared = places.total_running + turn.entries <= room
-        return places.own_running < share or is_shared
+        is_shared = is_shared and not turn.is_divided_anew
+        return has_share or is_shared
--- a/citronjunction/gateway/constraint_sharing.py
+++ b/citronjunction/gateway/constraint_sharing.py
@@ -1,11 +1,18 @@
 """Reports of workers' constraints, and of what counts for them, to peers."""
 
-import functools
+import dataclasses
+from collections import abc
 
 import xxhash
 
 from citronjunction.duties import clock
-from citronjunction.gateway import constraints, context, fleet, models
+from citronjunction.gateway import (
+    constraints,
+    context,
+    fleet,
+    models,
+    place_division,
+)
 from citronjunction.membership import facts
 from citronjunction.peering import node
 
@@ -37,11 +44,12 @@
         self.limits = services.fleet.limits
         self.brittleness = services.fleet.brittleness
         self.tables = {REQUESTS: self.limits, REFUSALS: self.brittleness}
-        self.limits.get_turn = functools.partial(self._get_turn, ROTATION_S)
+        self.limits.get_turn = self._get_turn
         self.limits.on_send = self._schedule
-        self.brittleness.get_turn = functools.partial(
-            self._get_turn, PLACE_ROTATION_S
+        self.division = place_division.PlaceDivision(
+            peers.own_name, services.reach, services.quotas.peers.is_heard
         )
+        self.brittleness.get_turn = self._get_place_turn
 
     def on_answer(
         self,
@@ -146,17 +154,40 @@
             )
         )
 
-    def _get_turn(
-        self, rotation_s: float, start_key: str, now: float
+    def _get_turn(self, start_key: str, now: float) -> constraints.Turn:
+        """Return the turn among all serving entries."""
+        names = sorted(self.peers.roles.serving)
+        return self._build_turn(start_key, names, ROTATION_S, now)
+
+    def _get_place_turn(self, start_key: str, now: float) -> constraints.Turn:
+        """Return the turn among the serving entries that reach a worker."""
+        serving = self.peers.roles.serving
+        worker = self.services.fleet.workers.get(start_key.partition('/')[0])
+        upstream = worker.registration.upstream if worker else ''
+        division = self.division.divide(upstream, serving, now)
+        turn = self._build_turn(
+            start_key, division.names, PLACE_ROTATION_S, now
+        )
+        return dataclasses.replace(
+            turn,
+            spare=division.spare,
+            is_divided_anew=len(division.names) < len(serving),
+        )
+
+    def _build_turn(
+        self,
+        start_key: str,
+        names: abc.Sequence[str],
+        rotation_s: float,
+        now: float,
     ) -> constraints.Turn:
-        serving = sorted(self.peers.roles.serving)
         known_share = self.services.quotas.peers.measure_known_share(now)
         own_name = self.peers.own_name
-        if own_name not in serving:
-            return constraints.Turn(len(serving), len(serving) + 1, known_share)
+        if own_name not in names:
+            return constraints.Turn(len(names), len(names) + 1, known_share)
         # Clocks agree closely enough for turns; two entries that disagree for
         # a moment only send one request too many.
         rounds = int(self.clock.now() / rotation_s)
         offset = rounds + xxhash.xxh32_intdigest(start_key.encode())
-        position = (serving.index(own_name) + offset) % len(serving)
-        return constraints.Turn(position, len(serving), known_share)
+        position = (names.index(own_name) + offset) % len(names)
+        return constraints.Turn(position, len(names), known_share)
--- a/citronjunction/gateway/constraints.py
+++ b/citronjunction/gateway/constraints.py
@@ -16,12 +16,16 @@
 class Turn:
     """An entry's turn among those that serve; position 0 is the first.
 
-    ``known_share`` is the share of the entries whose requests it knows.
+    ``known_share`` is the share of the entries whose requests it knows. A part
+    of a worker's places is only used if ``spare`` of them are free, unless 0.
+    ``is_divided_anew`` means that not all entries that serve have such a part.
     """
 
     position: int
     entries: int
     known_share: float
+    spare: int = 0
+    is_divided_anew: bool = False
 
 
 # Returns an entry's turn at a worker, by the key of its start, at a time.
--- a/citronjunction/gateway/quota_peers.py
+++ b/citronjunction/gateway/quota_peers.py
@@ -149,6 +149,11 @@
         """Return whether a peer that may still serve has stopped reporting."""
         return any(peer.is_silent(now) for peer in self.by_name.values())
 
+    def is_heard(self, name: str, now: float) -> bool:
+        """Return whether a peer reports."""
+        peer = self.by_name.get(name)
+        return peer is not None and not peer.is_silent(now)
+
     def count_entries(self) -> int:
         """Return the number of entries that may serve, including this one."""
         return 1 + len(self.by_name) if self.by_name else ASSUMED_ENTRIES
--- a/citronjunction/gateway/reach_checking.py
+++ b/citronjunction/gateway/reach_checking.py
@@ -93,7 +93,8 @@
 
     def on_connected(self, upstream: str) -> None:
         """Use an upstream again, to which a new connection was accepted."""
-        if not self.reach.record_success(upstream):
+        now = self.services.timers.now()
+        if not self.reach.record_success(upstream, now):
             return
         self.services.log.write('upstream reachable', upstream)
         for worker in self.services.fleet.select(upstream):
@@ -116,7 +117,7 @@
         """
         if fact.name == self.peers.own_name:
             return
-        self.reach.apply_report(fact)
+        self.reach.apply_report(fact, self.services.timers.now())
         if not self.peers.roles.stands_by:
             for upstream in fact.upstreams:
                 self._check_if_silent(upstream)
--- a/citronjunction/gateway/reachability.py
+++ b/citronjunction/gateway/reachability.py
@@ -19,6 +19,8 @@
 
     ``failures`` maps upstreams to the start keys of workers and the times of
     their last failed connection, ``reports`` entries to what they reported.
+    ``lost_at`` is when an entry was first heard to have lost an upstream, until
+    it reaches that again, ``returned_at`` when this entry did.
     """
 
     lost: set[str] = dataclasses.field(default_factory=set)
@@ -28,6 +30,10 @@
     reports: dict[str, facts.LostUpstreams] = dataclasses.field(
         default_factory=dict
     )
+    lost_at: dict[str, dict[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    returned_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def record_failure(self, upstream: str, start_key: str, now: float) -> int:
         """Record a failed connection; return how many workers failed lately."""
@@ -38,20 +44,38 @@
                 failed.pop(known)
         return len(failed)
 
-    def record_success(self, upstream: str) -> bool:
+    def record_success(self, upstream: str, now: float) -> bool:
         """Record a new connection; return whether the upstream was lost."""
         self.failures.pop(upstream, None)
         was_lost = upstream in self.lost
         self.lost.discard(upstream)
+        if was_lost:
+            self.returned_at[upstream] = now
         return was_lost
 
     def is_cut_off(self, upstreams: abc.Iterable[str]) -> bool:
         """Return whether all upstreams, at least one, are lost."""
         return bool(self.lost) and self.lost.issuperset(upstreams)
 
-    def apply_report(self, report: facts.LostUpstreams) -> None:
+    def apply_report(self, report: facts.LostUpstreams, now: float) -> None:
         """Replace what an entry reported before."""
+        known = self.reports.get(report.name)
+        lost_at: dict[str, float] = {}
+        if known is not None and known.incarnation == report.incarnation:
+            lost_at = self.lost_at.get(report.name, lost_at)
         self.reports[report.name] = report
+        self.lost_at[report.name] = {
+            upstream: lost_at.get(upstream, now)
+            for upstream in report.upstreams
+        }
+
+    def get_lost_at(
+        self, entry: facts.EntryState, upstream: str
+    ) -> float | None:
+        """Return since when an entry reports an upstream as lost, if it does."""
+        if upstream not in self.get_lost_by(entry):
+            return None
+        return self.lost_at[entry.name][upstream]
 
     def get_lost_by(self, entry: facts.EntryState) -> frozenset[str]:
         """Return the upstreams that an entry reports as lost."""
