--- a/tests/soak/virtual/test_playing.py
+++ b/tests/soak/virtual/test_playing.py
@@ -72,7 +72,8 @@
         forwarding.Forwarder, 'is_needed', lambda forwarder, *state: False
     )
 
-    assert find_violation(rules.check_recover, range(1, 9))
+    # The seeds that show it come first.
+    assert find_violation(rules.check_recover, (6, 7, 8, 1, 2, 3, 4, 5))
 
 
 def test_entries_that_ignore_the_use_of_peers_are_found(monkeypatch):
