--- a/tests/gateway/quota_machine.py
+++ b/tests/gateway/quota_machine.py
@@ -16,6 +16,7 @@
 MIN_REPORT_INTERVAL = 5
 LIMIT = 800  # tokens in a window
 OVERRUN = 0.1
+RELEASE_PACE = 0  # ticks between waiting requests that are sent or repeated
 SLACK = 0.2  # share of the limit
 COST = 10
 PACE = 2  # ticks between requests in a flood of five times the limit
@@ -236,11 +237,15 @@
         batch.changed_at = self.now
         for request in self._select_active(batch):
             self._send(batch, request)
+            self._publish_early(request.host)
+            self.advance(RELEASE_PACE)
 
     def repeat(self, batch):
         for request in self._select_active(batch):
             if request.host.ledger.repeat(request):
                 self._run(request)
+            self._publish_early(request.host)
+            self.advance(RELEASE_PACE)
 
     def refund(self, batch):
         self.batches.remove(batch)
