Quotas: compute once, keep one copy

Found by reading the whole change again; behaviour is unchanged.

- Each admission listed the unheard peers twice and counted those that serve four times; both are computed once.
The number of serving entries is a maximum.
- Own and peers' windows were created by two equal methods: a defaultdict each.
- The holder copied all usage counts at each tick and again for the write; it does so when a write may be due.
- The kind of a fact's key was cut out in two places: facts.get_kind.

--- a/citronjunction/duties/checkpoint.py
+++ b/citronjunction/duties/checkpoint.py
@@ -7,7 +7,12 @@
 from collections import abc
 
 from citronjunction.duties import clock, usage
-from citronjunction.gateway import quota_past, quota_peers, quotas
+from citronjunction.gateway import (
+    quota_logging,
+    quota_past,
+    quota_peers,
+    quotas,
+)
 from citronjunction.observability import decisions
 from citronjunction.store import eras, records
 from citronjunction.transport import timer_queue
@@ -18,7 +23,6 @@
 MIN_WRITE_INTERVAL_S = 0.25  # limits the number of writes in a flood
 IDLE_WRITE_INTERVAL_S = 5.0  # while no request begins
 READ_RETRY_S = 0.5  # delay of the next read while the store is unavailable
-MAX_LOGGED = 24  # organisations in a log line, those with the highest use
 
 
 class Checkpoint:
@@ -90,18 +94,21 @@
             self.has_pending_call = True
             self.store.read(KIND, NAME, self._on_read)
             return
-        waited_s = self.timers.now() - self.written_at
-        if waited_s >= self._get_interval_s() and may_write:
-            self._write()
-
-    def _get_interval_s(self) -> float:
-        if self.quotas.has_unsaved_use():
-            return MIN_WRITE_INTERVAL_S
-        is_idle = self.ledger.export() == self.written_counts
-        return IDLE_WRITE_INTERVAL_S if is_idle else WRITE_INTERVAL_S
+        if may_write:
+            self._write_if_due()
 
-    def _write(self) -> None:
+    def _write_if_due(self) -> None:
+        waited_s = self.timers.now() - self.written_at
+        is_flood = self.quotas.has_unsaved_use()
+        interval_s = MIN_WRITE_INTERVAL_S if is_flood else WRITE_INTERVAL_S
+        if waited_s < interval_s:
+            return
         counts = self.ledger.export()
+        is_idle = counts == self.written_counts and not is_flood
+        if not is_idle or waited_s >= IDLE_WRITE_INTERVAL_S:
+            self._write(counts)
+
+    def _write(self, counts: usage.Snapshot) -> None:
         self.has_pending_call = True
         self.written_counts = counts
         self.written_at = self.timers.now()
@@ -176,14 +183,13 @@
             name: window.measure(now)
             for name, window in self.quotas.peer_windows.items()
         }
-        by_use = sorted(used.items(), key=lambda item: -item[1])
         self.log.write(
             'quota restored',
             NAME,
             age_s=round(saved.age_s, 3),
             is_complete=saved.is_complete,
             entries=saved.entries,
-            used=dict(by_use[:MAX_LOGGED]),
+            used=quota_logging.select_highest(used),
         )
 
     def _on_read(self, result: records.ReadResult) -> None:
--- a/citronjunction/gateway/quota_peers.py
+++ b/citronjunction/gateway/quota_peers.py
@@ -229,13 +229,12 @@
 
     def count_serving(self, now: float) -> int:
         """Return the number of expected entries without those that stand by."""
-        serving = sum(peer.report.is_serving for peer in self.by_name.values())
-        return 1 + serving + self._count_unknown(now)
+        return max(
+            1 + self._count_heard_serving(), self._count_expected_serving(now)
+        )
 
-    def _count_unknown(self, now: float) -> int:
-        """Return how many entries that should serve have not been heard."""
-        serving = sum(peer.report.is_serving for peer in self.by_name.values())
-        return max(0, self._count_expected_serving(now) - 1 - serving)
+    def _count_heard_serving(self) -> int:
+        return sum(peer.report.is_serving for peer in self.by_name.values())
 
     def measure_known_share(self, now: float) -> float:
         """Return the share of the entries whose use this entry knows.
@@ -252,7 +251,7 @@
 
         Peers that stand by are left out until they are late.
         """
-        unknown = self._count_unknown(now)
+        unknown = self.count_serving(now) - 1 - self._count_heard_serving()
         unheard = [
             Unheard(
                 peer.heard_at,
@@ -262,7 +261,7 @@
             for peer in self.by_name.values()
             if peer.report.is_serving or peer.is_late(now)
         ]
-        if unknown > 0:
+        if unknown:
             unheard.append(
                 Unheard(self.started_at, is_late=True, count=unknown)
             )
--- a/citronjunction/gateway/quotas.py
+++ b/citronjunction/gateway/quotas.py
@@ -5,7 +5,9 @@
 what is assumed of those it does not hear; see ``docs/topics/quotas.md``.
 """
 
+import collections
 import dataclasses
+import functools
 from collections import abc
 from typing import Union
 
@@ -26,9 +28,9 @@
 # Share of a quota that all entries together may use before they hear each
 # other. More is taken into account as if each peer had used as much.
 UNHEARD_SHARE = 0.1
-# Age of a charge up to which peers are told of its refund. They do not know its
-# place in the window, and would free use that is as much younger.
-MAX_TOLD_REFUND_S = 0.25
+# Age of a charge up to which its refund is reported to peers. They do not know
+# its place in the window, and would free use that is as much younger.
+MAX_REPORTED_REFUND_S = 0.25
 # Share that all entries may use until it is saved in the store.
 UNSAVED_SHARE = 0.05
 
@@ -110,9 +112,10 @@
         self.unknown = quota_past.UnknownUse(window_s)
         # Time between the checkpoint and the start.
         self.gap = quota_past.Span(now, now, 0)
-        self.own_windows: dict[str, quota_window.UseWindow] = {}
+        make_window = functools.partial(quota_window.UseWindow, window_s)
+        self.own_windows = collections.defaultdict(make_window)
         # Use that peers reported, and that of all entries before this start.
-        self.peer_windows: dict[str, quota_window.UseWindow] = {}
+        self.peer_windows = collections.defaultdict(make_window)
         # Limits of a window as they were last applied.
         self.limits: dict[str, float] = {}
         # Use that this entry admitted since its start.
@@ -160,9 +163,9 @@
 
     def refund(self, charge: Charge, now: float) -> None:
         """Take back the charge of a request that no worker ran."""
-        window = self._get_own_window(charge.organisation)
+        window = self.own_windows[charge.organisation]
         is_freed = window.take_back(charge.bucket, charge.cost, now)
-        if is_freed and now - charge.at <= MAX_TOLD_REFUND_S:
+        if is_freed and now - charge.at <= MAX_REPORTED_REFUND_S:
             self.used[charge.organisation] -= charge.cost
 
     def measure(self, name: str, now: float, cost: float = 0) -> Balance:
@@ -170,8 +173,8 @@
         limit = self.limits.get(name, 0)
         return Balance(
             limit * self._get_granted_share(now),
-            self._get_own_window(name).measure(now),
-            self._get_peer_window(name).measure(now),
+            self.own_windows[name].measure(now),
+            self.peer_windows[name].measure(now),
             self._assume_unheard(name, cost, now),
             limit * self.unknown.measure(now),
         )
@@ -192,10 +195,10 @@
         changes = self.peers.record(name, report, now)
         for organisation, change in changes.items():
             if change > 0:
-                self._get_peer_window(organisation).add(change, now)
+                self.peer_windows[organisation].add(change, now)
                 self._count_unsaved(organisation, change)
             elif change < 0:
-                peer_window = self._get_peer_window(organisation)
+                peer_window = self.peer_windows[organisation]
                 peer_window.take_back_oldest(-change, now)
 
     def export(self, now: float) -> dict[str, list[list[float]]]:
@@ -207,7 +210,7 @@
         names = self.own_windows.keys() | self.peer_windows.keys()
         return {
             name: quota_window.export(
-                (self._get_own_window(name), self._get_peer_window(name)), now
+                (self.own_windows[name], self.peer_windows[name]), now
             )
             for name in sorted(names)
         }
@@ -224,7 +227,7 @@
         self.gap = self.unknown.add(unknown_since, self.started_at, 1)
         for name in saved.used:
             past = saved.list_buckets(name, self.started_at, now)
-            self._get_peer_window(name).restore(past)
+            self.peer_windows[name].restore(past)
 
     def is_certain(self, now: float) -> bool:
         """Return whether the use of the window that ends now is known."""
@@ -249,7 +252,7 @@
         self.unreported.clear()
 
     def _book(self, name: str, cost: float, now: float) -> Charge:
-        bucket = self._get_own_window(name).add(cost, now)
+        bucket = self.own_windows[name].add(cost, now)
         self.used[name] = self.used.get(name, 0) + cost
         self._count_unsaved(name, cost)
         unreported = self.unreported.get(name, 0) + cost
@@ -266,34 +269,38 @@
         heard used since then, whichever is more.
         """
         limit = self.limits.get(name, 0)
-        share = limit / self.peers.count_serving(now)
+        serving = self.peers.count_serving(now)
+        share = limit / serving
         small_share = limit / self.peers.count_expected(now)
         free = max(UNHEARD_SHARE * share, cost)
-        window = self._get_own_window(name)
+        window = self.own_windows[name]
+        unheard = self.peers.list_unheard(now)
         assumed: float = 0
-        for peer in self.peers.list_unheard(now):
+        for peer in unheard:
             used = window.measure_since(peer.since) + cost
             if peer.is_separated(now):
                 used = min(share if peer.is_serving else small_share, used)
             elif not peer.is_late:
                 used = max(0, used - free)
             assumed += peer.count * used
-        return max(assumed, self._assume_late(name, cost, now))
-
-    def _assume_late(self, name: str, cost: float, now: float) -> float:
-        """Return the use of the late peers if it is like that of the others."""
-        late = [
-            peer
-            for peer in self.peers.list_unheard(now)
-            if peer.is_late and peer.is_serving
-        ]
+        late = [peer for peer in unheard if peer.is_late and peer.is_serving]
         if not late:
-            return 0
+            return assumed
+        heard = serving - sum(peer.count for peer in late)
+        return max(assumed, self._assume_late(name, cost, late, max(1, heard)))
+
+    def _assume_late(
+        self,
+        name: str,
+        cost: float,
+        late: abc.Sequence[quota_peers.Unheard],
+        heard: int,
+    ) -> float:
+        """Return the use of late peers if it is like that of those heard."""
         count = sum(peer.count for peer in late)
-        heard = max(1, self.peers.count_serving(now) - count)
         since = min(peer.since for peer in late)
-        own = self._get_own_window(name).measure_since(since) + cost
-        others = self._get_peer_window(name).measure_since(since)
+        own = self.own_windows[name].measure_since(since) + cost
+        others = self.peer_windows[name].measure_since(since)
         return (own + others) * count / heard
 
     def _book_restart(
@@ -309,29 +316,15 @@
         for organisation, window in self.own_windows.items():
             share = self.limits.get(organisation, 0) / entries
             used = min(share, window.measure_since(peer.heard_at))
-            self._get_peer_window(organisation).add(used, now)
+            self.peer_windows[organisation].add(used, now)
 
     def _count_unsaved(self, name: str, used: float) -> None:
         self.unsaved[name] = self.unsaved.get(name, 0) + used
 
     def _compute_wait_s(self, name: str, excess: float, now: float) -> float:
-        windows = (self._get_own_window(name), self._get_peer_window(name))
+        windows = (self.own_windows[name], self.peer_windows[name])
         return quota_window.compute_wait_s(windows, excess, now)
 
-    def _get_own_window(self, name: str) -> quota_window.UseWindow:
-        window = self.own_windows.get(name)
-        if window is None:
-            window = quota_window.UseWindow(self.window_s)
-            self.own_windows[name] = window
-        return window
-
-    def _get_peer_window(self, name: str) -> quota_window.UseWindow:
-        window = self.peer_windows.get(name)
-        if window is None:
-            window = quota_window.UseWindow(self.window_s)
-            self.peer_windows[name] = window
-        return window
-
     def _get_granted_share(self, now: float) -> float:
         """Return the share of a limit that all entries may use together."""
         return 1 if self.is_certain(now) else UNKNOWN_USE_SHARE
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -1,7 +1,12 @@
 """Load reports that a gateway exchanges with its peers."""
 
 from citronjunction.duties import usage
-from citronjunction.gateway import context, outcomes, quota_peers
+from citronjunction.gateway import (
+    context,
+    outcomes,
+    quota_logging,
+    quota_peers,
+)
 from citronjunction.membership import facts
 from citronjunction.peering import node
 
@@ -17,7 +22,6 @@
 # describe the current queue.
 MAX_LOAD_AGE_S = 0.75
 LOST_INTERVALS = 4  # missed reports until a peer's load is dropped
-MAX_LOGGED = 24  # organisations in a log line, those with the highest use
 
 
 class Sharing:
@@ -132,14 +136,13 @@
         known = peers.by_name.get(fact.name)
         if known and known.report.incarnation == fact.incarnation:
             return
-        by_use = sorted(fact.used.items(), key=lambda used: -used[1])
         self.services.log.write(
             'first report',
             fact.name,
             incarnation=fact.incarnation,
             sequence=fact.sequence,
             is_known=known is not None,
-            used=dict(by_use[:MAX_LOGGED]),
+            used=quota_logging.select_highest(fact.used),
             known_share=peers.measure_known_share(now),
         )
 
--- a/citronjunction/membership/dialects.py
+++ b/citronjunction/membership/dialects.py
@@ -1,7 +1,7 @@
 """What builds read on peer links: kinds of messages and facts, and fields.
 
 Builds from before ``Speaks`` end a link at any kind that they don't know and
-at any other number of fields. They are told apart by what they send.
+at any other number of fields. What they send distinguishes them.
 """
 
 import dataclasses
@@ -32,7 +32,7 @@
 
     def reads_key(self, key: str) -> bool:
         """Return whether the build reads facts with the kind of a key."""
-        return key.partition(facts.KEY_SEPARATOR)[0] in self.field_counts
+        return self.reads(facts.get_kind(key))
 
     def compute_number(self) -> int:
         """Return a number that differs between dialects."""
--- a/citronjunction/membership/facts.py
+++ b/citronjunction/membership/facts.py
@@ -309,6 +309,11 @@
     return KEY_SEPARATOR.join((fact.kind, *values))
 
 
+def get_kind(key: str) -> str:
+    """Return the kind of the fact with a key."""
+    return key.partition(KEY_SEPARATOR)[0]
+
+
 def get_version(fact: Fact) -> Version:
     """Return the version that orders facts with the same key."""
     match fact:
--- a/citronjunction/transport/links.py
+++ b/citronjunction/transport/links.py
@@ -307,5 +307,5 @@
         case messages.Facts(facts=sent):
             return [fact.kind for fact in sent]
         case messages.Digest(versions=versions):
-            return [key.partition(facts.KEY_SEPARATOR)[0] for key in versions]
+            return [facts.get_kind(key) for key in versions]
     return []
