--- a/tests/gateway/test_cut_off_entries.py
+++ b/tests/gateway/test_cut_off_entries.py
@@ -35,13 +35,7 @@
 
 
 def press(deployed, seconds, *names, path='/safe/x', per_s=20):
-    """Send requests to the named entries in turn and return the answers."""
-    answers = []
-    for number in range(round(seconds * per_s)):
-        name = names[number % len(names)]
-        answers.append(deployed.send(path, name, method='POST'))
-        deployed.world.run(1 / per_s)
-    return answers
+    return deployed.press(names, seconds, per_s, path)
 
 
 def measure_served(answers):
--- a/tests/gateway/test_places_of_cut_off_entries.py
+++ b/tests/gateway/test_places_of_cut_off_entries.py
@@ -50,14 +50,8 @@
 
 
 def press(deployed, seconds, per_s, names=None, path='/safe/x'):
-    """Send requests to the entries in turn and return the answers."""
     names = names or list(deployed.gateways)
-    answers = []
-    for number in range(round(seconds * per_s)):
-        name = names[number % len(names)]
-        answers.append(deployed.send(path, name, method='POST'))
-        deployed.world.run(1 / per_s)
-    return answers
+    return deployed.press(names, seconds, per_s, path)
 
 
 def make_state(name):
--- a/tests/gateway/test_quota_machine.py
+++ b/tests/gateway/test_quota_machine.py
@@ -15,7 +15,7 @@
     quota_window,
     quotas,
 )
-from tests.gateway import quota_machine
+from tests.gateway import quota_fleet, quota_machine
 
 EXAMPLES = int(os.environ.get('QUOTA_EXAMPLES', '0'))
 PHASES = (hypothesis.Phase.generate, hypothesis.Phase.shrink)
@@ -31,7 +31,7 @@
 )
 KNOWN_RED = pytest.mark.xfail(
     strict=True,
-    raises=quota_machine.QuotaBrokenError,
+    raises=quota_fleet.QuotaBrokenError,
     reason='KNOWN-RED: quota accounting',
 )
 
@@ -105,13 +105,13 @@
 @pytest.mark.parametrize(('seed', 'owner', 'name', 'broken'), BROKEN)
 def test_a_broken_variant_is_found(monkeypatch, seed, owner, name, broken):
     monkeypatch.setattr(owner, name, broken)
-    with pytest.raises(quota_machine.QuotaBrokenError):
+    with pytest.raises(quota_fleet.QuotaBrokenError):
         play(SETTINGS, seed)
 
 
 @pytest.fixture
 def fleet():
-    return quota_machine.Fleet(2, quota_machine.Ledger)
+    return quota_fleet.Fleet(2, quota_fleet.Ledger)
 
 
 def test_a_refund_after_the_charge_has_expired_frees_nothing(fleet):
@@ -121,23 +121,23 @@
     fleet.refund(batch)
     fleet.press(fleet.hosts[:1], 4)
 
-    assert fleet.worst <= quota_machine.LIMIT
+    assert fleet.worst <= quota_fleet.LIMIT
 
 
 def test_use_leaves_the_window_no_sooner_than_its_youngest_request(fleet):
     fleet.advance(20)
     fleet.ask(fleet.hosts[:1], 1, is_sent=True)
     fleet.press(fleet.hosts[:1], 4)
-    fleet.advance(fleet.ran[0][0] + quota_machine.WINDOW - fleet.now)
+    fleet.advance(fleet.ran[0][0] + quota_fleet.WINDOW - fleet.now)
     fleet.press(fleet.hosts[:1])
 
-    assert fleet.worst <= quota_machine.LIMIT
+    assert fleet.worst <= quota_fleet.LIMIT
 
 
 def test_a_request_counts_once_when_it_was_asked(fleet):
     asked_at = fleet.now
     late = fleet.ask(fleet.hosts, 80)
-    fleet.advance(quota_machine.WINDOW)
+    fleet.advance(quota_fleet.WINDOW)
     fleet.press(fleet.hosts)
     for _ in range(2):
         fleet.send(late)
@@ -147,16 +147,16 @@
 
 def test_use_under_a_higher_limit_counts(fleet):
     fleet.press(fleet.hosts)
-    fleet.limits.append([quota_machine.LIMIT // 2, None])
+    fleet.limits.append([quota_fleet.LIMIT // 2, None])
     for host in fleet.hosts:
-        host.limit = quota_machine.LIMIT // 2
+        host.limit = quota_fleet.LIMIT // 2
         host.ledger.apply()
     fleet.note_limits()
     fleet.press(fleet.hosts, 40)
 
 
 def test_a_refund_reported_after_the_charge_has_expired_frees_nothing():
-    fleet = quota_machine.Fleet(12, quota_machine.Ledger)
+    fleet = quota_fleet.Fleet(12, quota_fleet.Ledger)
     fleet.advance(10)
     batch = fleet.ask(fleet.hosts, 80)
     fleet.press(fleet.hosts)
@@ -181,7 +181,7 @@
     fleet.disturb()
     fleet.hosts[1].group = 1
     fleet.refund(batch)
-    fleet.advance(quota_machine.WINDOW)
+    fleet.advance(quota_fleet.WINDOW)
     fleet.ask(fleet.hosts[:1], 400, is_sent=True)
     fleet.heal()
     fleet.advance(25)
@@ -207,7 +207,7 @@
 
 @KNOWN_RED
 def test_a_long_partition_adds_nothing():
-    fleet = quota_machine.Fleet(4, quota_machine.Ledger)
+    fleet = quota_fleet.Fleet(4, quota_fleet.Ledger)
     fleet.is_calm = False
     for host in fleet.hosts[::2]:
         host.group = 1
@@ -217,7 +217,7 @@
 
 @KNOWN_RED
 def test_large_requests_of_many_entries_stay_within_the_overrun():
-    fleet = quota_machine.Fleet(12, quota_machine.Ledger, cost=20)
+    fleet = quota_fleet.Fleet(12, quota_fleet.Ledger, cost=20)
     fleet.press(fleet.hosts)
 
 
@@ -268,7 +268,7 @@
 
 @KNOWN_RED_SERVED
 def test_an_entry_alone_serves_the_limit():
-    fleet = quota_machine.Fleet(1, quota_machine.Ledger)
+    fleet = quota_fleet.Fleet(1, quota_fleet.Ledger)
     fleet.press(fleet.hosts)
 
-    assert fleet.worst == quota_machine.LIMIT
+    assert fleet.worst == quota_fleet.LIMIT
--- a/tests/gateway/test_quota_restarts.py
+++ b/tests/gateway/test_quota_restarts.py
@@ -29,8 +29,8 @@
 
 def report(entry, name, now, used=0.0, **fields):
     fields = {'incarnation': 1, 'sequence': 20000 + round(now * 100), **fields}
-    told = quota_peers.UseReport(used={'org': used}, **fields)
-    entry.record_report(name, told, now)
+    message = quota_peers.UseReport(used={'org': used}, **fields)
+    entry.record_report(name, message, now)
 
 
 def exchange(entries, now):
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -270,6 +270,15 @@
         self.gateway_hosts[name] = host
         return node
 
+    def press(self, names, seconds, per_s, path='/safe/x'):
+        """Send requests to the named gateways in turn; return the answers."""
+        answers = []
+        for number in range(round(seconds * per_s)):
+            name = names[number % len(names)]
+            answers.append(self.send(path, name, method='POST'))
+            self.world.run(1 / per_s)
+        return answers
+
     def start_again(self, name):
         """Start a gateway whose host was killed, unless it runs again."""
         if not self.gateway_hosts[name].is_alive:
