--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,8 +42,12 @@
         self.system.record(f'client sends {attempt} to {gateway.name}')
         try:
             answer = await harness.ask(
-                gateway.ports['front'], 'POST', '/hold/axle',
-                harness.make_headers(attempt, 1500), b'part=axle', limit_s=2,
+                gateway.ports['front'],
+                'POST',
+                '/hold/axle',
+                harness.make_headers(attempt, 1500),
+                b'part=axle',
+                limit_s=2,
             )
             self.statuses[attempt] = answer.status if answer.is_whole else 0
         except (OSError, EOFError, TimeoutError):
@@ -59,9 +63,14 @@
 async def play(system, is_troubled):
     zones = ('casa-voyageurs', 'rabat-agdal')
     for number in range(4):
-        system.workers.append(harness.Worker(
-            f'i-app{number}', 'magasin-app', zones[number % 2], lambda _: b'held'
-        ))
+        system.workers.append(
+            harness.Worker(
+                f'i-app{number}',
+                'magasin-app',
+                zones[number % 2],
+                lambda _: b'held',
+            )
+        )
     system.add_route('/hold/', 'unsafe', 'magasin-app', timeoutMs=1500)
     await system.start(zones, ['magasin-app'])
     caller = Caller(system)
@@ -71,10 +80,17 @@
 
     if is_troubled:
         system.store.raw['@nested@'] = '[' * DEPTH + ']' * DEPTH
-        await system.store.put('servers', 'inventory-export', {
-            'service': 'magasin-app', 'addr': system.workers[0].location,
-            'zone': zones[0], 'slots': '@nested@', 'state': 'ready',
-        })
+        await system.store.put(
+            'servers',
+            'inventory-export',
+            {
+                'service': 'magasin-app',
+                'addr': system.workers[0].location,
+                'zone': zones[0],
+                'slots': '@nested@',
+                'state': 'ready',
+            },
+        )
         system.record('another writer writes servers/inventory-export')
     await asyncio.sleep(harness.STABLE_S)
 
@@ -90,20 +106,28 @@
     await asyncio.sleep(RECOVER_S + MEASURED_S)
     for gateway in system.gateways:
         ready = await gateway.is_ready()
-        system.record(f'{gateway.name} runs: {gateway.is_running}, is ready: {ready}')
+        system.record(
+            f'{gateway.name} runs: {gateway.is_running}, is ready: {ready}'
+        )
     calling.cancel()
     await system.store.remove('servers', 'inventory-export')
     await asyncio.sleep(5)
     for gateway in system.gateways:
         ready = await gateway.is_ready()
-        system.record(f'5 s after the entry was removed {gateway.name} is ready: {ready}')
+        system.record(
+            f'5 s after the entry was removed {gateway.name} is ready: {ready}'
+        )
 
-    after = caller.measure(back_at + RECOVER_S, back_at + RECOVER_S + MEASURED_S)
+    after = caller.measure(
+        back_at + RECOVER_S, back_at + RECOVER_S + MEASURED_S
+    )
     for worker in system.workers:
         for at, attempt, _ in worker.runs:
             system.record(f'{worker.name} runs {attempt}', at)
     system.record(f'served before the final fault: {before[0]} of {before[1]}')
-    system.record(f'served later than recoverS after it: {after[0]} of {after[1]}')
+    system.record(
+        f'served later than recoverS after it: {after[0]} of {after[1]}'
+    )
     if after[0] < after[1] / 4 and before[0] >= before[1] / 4:
         return [
             f'RECOVER {after[0]} of {after[1]} requests that were sent later than'
--- a/review/harness.py
+++ b/review/harness.py
@@ -28,16 +28,24 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HELD, BROKEN, UNUSABLE = 0, 1, 2
+DESCRIPTORS = 16384  # of the process with the stand-ins, if it may
 BOUNDS = {  # of the sheet of sites/arpc-souk.toml
-    'graceS': 8, 'retryRatio': 0.2, 'retryWindowS': 10, 'retrySlack': 54,
-    'quotaWindowS': 8, 'windowS': 5, 'usageLateS': 10,
+    'graceS': 8,
+    'retryRatio': 0.2,
+    'retryWindowS': 10,
+    'retrySlack': 54,
+    'quotaWindowS': 8,
+    'windowS': 5,
+    'usageLateS': 10,
 }
 STABLE_S = 3.0
 DRAIN_S = 2.0
 CONFIG_S = 2.0
 LIMITS = {
-    'maxHeaderBytes': 16384, 'maxBodyBytes': 4194304,
-    'headerTimeoutMs': 3000, 'idleTimeoutMs': 15000,
+    'maxHeaderBytes': 16384,
+    'maxBodyBytes': 4194304,
+    'headerTimeoutMs': 3000,
+    'idleTimeoutMs': 15000,
 }
 HOST = 'depot.example'
 KEY = 'key-one'
@@ -198,7 +206,8 @@
     async def _list(self, kind, request):
         after = request.query.get('after', '')
         found = sorted(
-            (name, stored) for (of, name), stored in self.objects.items()
+            (name, stored)
+            for (of, name), stored in self.objects.items()
             if of == kind and name > after
         )
         page = [stored for _, stored in found[: self.PAGE]]
@@ -221,7 +230,9 @@
             ]
             left = until - time.monotonic()
             if events or left <= 0:
-                return self._reply(200, {'events': events, 'asOf': self.revision})
+                return self._reply(
+                    200, {'events': events, 'asOf': self.revision}
+                )
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left), self.changed:
                     await self.changed.wait()
@@ -263,10 +274,15 @@
         return await self.server.start()
 
     async def _answer(self, request):
-        self.calls.append((
-            time.monotonic(), request.path, request.headers.get('holder'),
-            request.headers.get('fencing-token'), request.body.decode(),
-        ))
+        self.calls.append(
+            (
+                time.monotonic(),
+                request.path,
+                request.headers.get('holder'),
+                request.headers.get('fencing-token'),
+                request.body.decode(),
+            )
+        )
         return 200, {'Content-Type': 'application/json'}, b'{}'
 
 
@@ -291,9 +307,15 @@
     def describe(self):
         self.sequence += 1
         return {
-            'service': self.service, 'addr': self.location, 'zone': self.zone,
-            'version': 'v1', 'slots': 6, 'state': self.state, 'coldLeftMs': 0,
-            'seq': 1, 'born': self.born,
+            'service': self.service,
+            'addr': self.location,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': 6,
+            'state': self.state,
+            'coldLeftMs': 0,
+            'seq': 1,
+            'born': self.born,
         }
 
     async def _answer(self, request):
@@ -361,13 +383,20 @@
     def write_settings(self, seeds):
         template = (ROOT / 'deploy' / 'node.ini').read_text()
         fields = {
-            'node': self.name, 'region': 'maroc-nord', 'zone': self.zone,
-            'ip': self.address, 'limits': {'cpuShare': 0.537},
-            'listen': self.ports, 'platform': {'addr': self.system.store_at},
-            'cloud': {'addr': self.system.cloud_at}, 'seeds': seeds,
+            'node': self.name,
+            'region': 'maroc-nord',
+            'zone': self.zone,
+            'ip': self.address,
+            'limits': {'cpuShare': 0.537},
+            'listen': self.ports,
+            'platform': {'addr': self.system.store_at},
+            'cloud': {'addr': self.system.cloud_at},
+            'seeds': seeds,
             'bounds': BOUNDS,
         }
-        text = re.sub(r'\{\{([\w.]+)\}\}', lambda m: look_up(fields, m[1]), template)
+        text = re.sub(
+            r'\{\{([\w.]+)\}\}', lambda m: look_up(fields, m[1]), template
+        )
         written = self.settings.with_suffix('.new')
         written.write_text(text)
         written.rename(self.settings)
@@ -375,16 +404,27 @@
     async def start(self, descriptors=None):
         role = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
         command = shlex.split(role['roles']['gateway']['run'])
-        kept = {k: os.environ[k] for k in ('PATH', 'HOME', 'LANG') if k in os.environ}
+        kept = {
+            k: os.environ[k]
+            for k in ('PATH', 'HOME', 'LANG')
+            if k in os.environ
+        }
         log = (self.system.folder / f'{self.name}.log').open('ab')
         self.process = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL,
-            stdout=log, stderr=log,
-            preexec_fn=descriptors and functools.partial(
-                resource.setrlimit, resource.RLIMIT_NOFILE, (descriptors, descriptors)
+            *command,
+            cwd=ROOT,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            preexec_fn=descriptors
+            and functools.partial(
+                resource.setrlimit,
+                resource.RLIMIT_NOFILE,
+                (descriptors, descriptors),
             ),
             env={
-                **kept, 'PYTHONPATH': str(ROOT / 'target' / 'deps'),
+                **kept,
+                'PYTHONPATH': str(ROOT / 'target' / 'deps'),
                 'PYTHONDONTWRITEBYTECODE': '1',
                 'CITRONJUNCTION_NODE_FILE': str(self.settings),
             },
@@ -407,7 +447,9 @@
 
     async def is_ready(self):
         try:
-            answer = await ask(self.ports['readiness'], 'GET', '/api/readyz', {}, limit_s=1)
+            answer = await ask(
+                self.ports['readiness'], 'GET', '/api/readyz', {}, limit_s=1
+            )
         except (OSError, EOFError, TimeoutError):
             return False
         return answer.status == 200
@@ -434,8 +476,15 @@
 
 
 async def ask(
-    location, method, path, headers, body=b'', limit_s=15.0,
-    bytes_per_s=None, segment=None, receive_buffer=None,
+    location,
+    method,
+    path,
+    headers,
+    body=b'',
+    limit_s=15.0,
+    bytes_per_s=None,
+    segment=None,
+    receive_buffer=None,
 ):
     """Send one request on a new connection and read its answer.
 
@@ -457,7 +506,9 @@
             lines += [f'{name}: {text}' for name, text in headers.items()]
             if body or method == 'POST':
                 lines.append(f'Content-Length: {len(body)}')
-            await loop.sock_sendall(sock, '\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
+            await loop.sock_sendall(
+                sock, '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+            )
             await _read_answer(loop, sock, answer, bytes_per_s)
     finally:
         answer.ended_at = time.monotonic()
@@ -542,23 +593,37 @@
     async def configure(self):
         """Write the next version of the configuration; return the answer's time."""
         self.version += 3
-        return await self.store.put('config', 'main', {
-            'version': self.version, 'routes': self.routes,
-            'services': [
-                {'name': name, 'healthPath': '/healthz', 'maxConns': 100}
-                for name in self.services
-            ],
-            'limits': LIMITS,
-            'tenants': [{'name': 'depot', 'apiKeys': [KEY]}],
-        })
+        return await self.store.put(
+            'config',
+            'main',
+            {
+                'version': self.version,
+                'routes': self.routes,
+                'services': [
+                    {'name': name, 'healthPath': '/healthz', 'maxConns': 100}
+                    for name in self.services
+                ],
+                'limits': LIMITS,
+                'tenants': [{'name': 'depot', 'apiKeys': [KEY]}],
+            },
+        )
 
     def add_route(self, prefix, kind, service, **options):
-        self.routes.append({
-            'name': prefix.strip('/'), 'host': HOST, 'pathPrefix': prefix,
-            'type': kind, 'service': service, 'timeoutMs': 15000,
-            'targetLatencyMs': 200, 'attempts': 1 if kind == 'unsafe' else 2,
-            'priority': 1, 'public': False, **options,
-        })
+        self.routes.append(
+            {
+                'name': prefix.strip('/'),
+                'host': HOST,
+                'pathPrefix': prefix,
+                'type': kind,
+                'service': service,
+                'timeoutMs': 15000,
+                'targetLatencyMs': 200,
+                'attempts': 1 if kind == 'unsafe' else 2,
+                'priority': 1,
+                'public': False,
+                **options,
+            }
+        )
 
     async def close(self):
         for gateway in self.gateways:
@@ -576,7 +641,8 @@
 
 def make_headers(attempt, deadline_ms=15000):
     return {
-        'Attempt-Id': attempt, 'Deadline-Ms': str(deadline_ms),
+        'Attempt-Id': attempt,
+        'Deadline-Ms': str(deadline_ms),
         'Authorization': f'Bearer {KEY}',
     }
 
@@ -586,6 +652,14 @@
     is_troubled = os.environ.get('TROUBLE', '1') != '0'
     # Processes inherit an ignored signal, as under nohup.
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    # The stand-ins of a case with many workers or users need many sockets.
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = (
+        DESCRIPTORS
+        if most == resource.RLIM_INFINITY
+        else min(most, DESCRIPTORS)
+    )
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, most))
 
     async def whole():
         system = System(case)
