--- a/citronjunction/gateway/application.py
+++ b/citronjunction/gateway/application.py
@@ -1,6 +1,6 @@
 """Routing and authentication of callers' requests."""
 
-from citronjunction.gateway import context, flow, models
+from citronjunction.gateway import context, flow, models, sources
 from citronjunction.transport import http_server
 from citronjunction.verdicts import http
 from citronjunction.verdicts import models as verdicts
@@ -14,8 +14,11 @@
 class Application:
     """Handle callers' requests."""
 
-    def __init__(self, services: context.Services) -> None:
+    def __init__(
+        self, services: context.Services, copies: sources.Sources
+    ) -> None:
         self.services = services
+        self.copies = copies
 
     def handle(self, exchange: http_server.Exchange) -> None:
         """Start the flow of a request that the configuration allows."""
@@ -82,12 +85,15 @@
         status: int,
         reason: str,
     ) -> None:
+        silence = self.copies.measure_configuration()
         self.services.log.write(
             'deny',
             request.name,
             status=status,
             reason=reason,
             configuration=self.services.configuration.version,
+            source=silence.source,
+            silent_s=round(silence.seconds, 3),
         )
         _respond(exchange, verdicts.NotRun(reason, 0, status, 'denied'))
 
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -140,7 +140,9 @@
             self.sharing.get_offered,
             self.log,
         )
-        self.app = application.Application(self.services)
+        self.app = application.Application(
+            self.services, self.peer_exchange.sources
+        )
         self.http_server = http_server.HttpServer(
             loop.sockets,
             timers,
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -9,6 +9,7 @@
     easing,
     reach_checking,
     sharing,
+    sources,
     trials,
     watching,
 )
@@ -36,6 +37,7 @@
         self.watcher = watcher
         self.lagging_version = 0
         self.lagging_since: float = 0
+        self.sources = sources.Sources(watcher, peers)
         self.copying = copying.Copying(services, watcher, peers)
         self.crash_reporter = crash_reporting.CrashReporter(
             services, peers, steady_clock
