HTTP client: reuse a connection only if the response named its call

What callers saw, as other operators reported: "not run, try again" for a request that a worker was running (REFUSED). It can happen here: a worker that refuses a request names it in no header; when it writes that refusal once more on the kept connection, the copy answers the next request, which the worker runs at the same time.

Cause: a response without the echo header was taken for that of the current call.

Change: a call that expects an echo keeps its connection only if the response had it, and calls without an echo (reports, health checks) have a pool of their own. A later copy of a response then names another call, or finds no connection to arrive on.

The entry of the own interface opens a connection for each request that must not be repeated. Cost: one connection a refusal that names no call.

--- a/citronjunction/entry/attempt.py
+++ b/citronjunction/entry/attempt.py
@@ -10,7 +10,12 @@
 from citronjunction.entry import models
 from citronjunction.organisations import models as organisations
 from citronjunction.routing import models as routing
-from citronjunction.transport import http_client, routes, timer_queue
+from citronjunction.transport import (
+    http_client,
+    keep_alive,
+    routes,
+    timer_queue,
+)
 from citronjunction.verdicts import models as verdicts
 
 OK = 200
@@ -233,7 +238,7 @@
         body,
         settings.connect_s,
         settings.silence_s,
-        max_idle_s=http_client.MAX_IDLE_S
+        max_idle_s=keep_alive.MAX_IDLE_S
         if is_repeatable
         else http_client.NO_REUSE_S,
     )
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -5,30 +5,36 @@
 
 import dataclasses
 import math
-import re
 from collections import abc
 from typing import Protocol
 
-from citronjunction.transport import responses, sockets, timer_queue
+from citronjunction.transport import (
+    keep_alive,
+    responses,
+    sockets,
+    timer_queue,
+)
 from citronjunction.verdicts import models as verdicts
 
 MAX_IDLE_PER_ADDRESS = 32  # connections
 MAX_REPLY_BYTES = 8388608  # longer bodies fail the call
 MAX_UNSENT_BYTES = 8388608  # more unsent bytes close the connection
-MAX_IDLE_S = 8.0  # reuse limit if the server states none
 NO_REUSE_S = -1.0  # as ``max_idle_s``: always open a new connection
 MIN_CHECK_S = 0.001  # a shorter delay may be lost in rounding, without end
-IDLE_REUSE_SHARE = 0.7  # of the idle timeout that the server states
 BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
-KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)')
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Echo:
-    """Name a header that the server echoes, to match responses to calls."""
+    """Name a header that the server echoes, to match responses to calls.
+
+    A response without it may be repeated later and then answer another call,
+    so its connection is not reused unless ``is_optional``.
+    """
 
     name: str
     text: str
+    is_optional: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -37,8 +43,8 @@
 
     ``connect_s`` limits the connect, ``silence_s`` the time without a byte in
     either direction, ``limit_s`` the time until the response has ended,
-    ``max_idle_s`` how long a reused connection may have been idle. A response with a different echo belongs to another call and is
-    dropped.
+    ``max_idle_s`` how long a reused connection may have been idle. A response
+    with a different echo belongs to another call and is dropped.
     """
 
     address: str
@@ -49,7 +55,7 @@
     connect_s: float = 1.0
     silence_s: float = 20.0
     limit_s: float = math.inf
-    max_idle_s: float = MAX_IDLE_S
+    max_idle_s: float = keep_alive.MAX_IDLE_S
     host: str = ''
     echo: Echo | None = None
 
@@ -59,6 +65,16 @@
             return False
         return headers.get(self.echo.name, self.echo.text) != self.echo.text
 
+    def is_identified_by(self, headers: abc.Mapping[str, str]) -> bool:
+        """Return whether a later copy of a response can be told from others."""
+        echo = self.echo
+        return echo is None or echo.is_optional or echo.name in headers
+
+    @property
+    def pool(self) -> 'Pool':
+        """Return the pool of connections that the call may use."""
+        return self.address, self.echo is not None
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Head:
@@ -94,11 +110,15 @@
         """Finish with a failure: no complete response arrives."""
 
 
+# Address of the server, and whether its responses are matched to the calls.
+# Calls that match none would leave responses that later calls can't tell apart.
+Pool = tuple[str, bool]
+
+
 class Exchange:
     """Run one call at a time on a connection that later calls may reuse."""
 
     __slots__ = (
-        'address',
         'call',
         'client',
         'connection',
@@ -115,10 +135,9 @@
 
     def __init__(self, client: 'HttpClient', call: Call, sink: Sink) -> None:
         self.client = client
-        self.address = call.address
         self.connection: sockets.Connection | None = None
         self.silence_timer: timer_queue.Timer | None = None
-        self.idle_s = MAX_IDLE_S
+        self.idle_s = keep_alive.MAX_IDLE_S
         self.is_reused = False
         self.assign(call, sink)
 
@@ -169,7 +188,7 @@
         if self.is_sent:
             self._finish_at_close(reason)
             return
-        text = f'could not connect to {self.address}: {reason}'
+        text = f'could not connect to {self.call.address}: {reason}'
         self._fail(verdicts.NotRun(text, code='connect_failed'))
 
     def cancel(self) -> None:
@@ -181,7 +200,7 @@
         if reason == sockets.CLOSED_BY_PEER and self.reader.finish():
             self._complete()
             return
-        text = f'connection to {self.address} lost: {reason}'
+        text = f'connection to {self.call.address} lost: {reason}'
         self._fail(verdicts.MayHaveRun(text, code=self.loss_code))
 
     def _fail(self, failure: verdicts.Failure) -> None:
@@ -229,7 +248,8 @@
         connection = self.connection
         if connection.is_closed or connection.unsent:
             return False
-        return self.reader.keeps_alive
+        is_identified = self.call.is_identified_by(self.reader.headers)
+        return self.reader.keeps_alive and is_identified
 
     def _start_silence_timer(self) -> None:
         limit_s = min(self.call.silence_s, self.call.limit_s)
@@ -270,7 +290,7 @@
     ) -> None:
         self.sockets = process_sockets
         self.timers = timers
-        self.idle: dict[str, list[Exchange]] = {}
+        self.idle: dict[Pool, list[Exchange]] = {}
 
     def send(self, call: Call, sink: Sink) -> Exchange:
         """Send a call; report its response or failure to the sink."""
@@ -291,11 +311,12 @@
 
     def drop_idle(self, address: str) -> None:
         """Close the idle connections to a server."""
-        for exchange in self.idle.pop(address, ()):
-            self.sockets.close(exchange.connection, 'no longer needed')
+        for is_matched in (False, True):
+            for exchange in self.idle.pop((address, is_matched), ()):
+                self.sockets.close(exchange.connection, 'no longer needed')
 
     def _acquire_idle(self, call: Call) -> Exchange | None:
-        idle = self.idle.get(call.address)
+        idle = self.idle.get(call.pool)
         now = self.timers.now()
         while idle:
             exchange = idle.pop()
@@ -310,8 +331,8 @@
 
     def keep(self, exchange: Exchange) -> None:
         """Return the connection of a completed call to the pool."""
-        exchange.idle_s = get_idle_s(exchange.reader.headers)
-        idle = self.idle.setdefault(exchange.address, [])
+        exchange.idle_s = keep_alive.get_idle_s(exchange.reader.headers)
+        idle = self.idle.setdefault(exchange.call.pool, [])
         if len(idle) < MAX_IDLE_PER_ADDRESS:
             idle.append(exchange)
         else:
@@ -319,7 +340,7 @@
 
     def discard(self, exchange: Exchange) -> None:
         """Remove a closed connection from the pool."""
-        idle = self.idle.get(exchange.address)
+        idle = self.idle.get(exchange.call.pool)
         if idle and exchange in idle:
             idle.remove(exchange)
 
@@ -377,11 +398,3 @@
         lines.append(f'Content-Length: {len(call.body)}')
     lines.append('\r\n')
     return '\r\n'.join(lines).encode('latin-1')
-
-
-def get_idle_s(headers: abc.Mapping[str, str]) -> float:
-    """Return the idle seconds after which a connection is not reused."""
-    stated = KEEP_ALIVE_TIMEOUT.search(headers.get('keep-alive', ''))
-    if stated is None:
-        return MAX_IDLE_S
-    return IDLE_REUSE_SHARE * int(stated.group(1))
--- a/tests/support/scripted.py
+++ b/tests/support/scripted.py
@@ -6,6 +6,7 @@
 
     def __init__(self, host, address, script):
         self.host = host
+        self.address = address
         self.script = script
         self.requests = []
         self.closed = 0
