Gateway: a stream that broke off goes on after a worker's failure

Other operators reported errors' text and heads in the middle of clients' streams, and streams that ended as if complete, after the next worker had answered with an error. Neither happens here: 38 cases (five statuses, signed and unsigned, framed, chunked, unframed, broken off, doubled, empty) passed on the unchanged code.

What was seen instead: the caller's stream was aborted at the first failure of the next worker, although the route may be resumed and had workers left. Five cases of test_a_stream_goes_on_at_the_worker_after_a_failure failed before and pass now.

--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -172,7 +172,7 @@
         self._count_run()
         is_good = answer.status < attempt.SERVER_ERROR
         self._close_attempt(source, is_good=is_good)
-        if not is_good and not self.response.is_started:
+        if not is_good:
             failed = evidence.describe_status(answer.status)
             self.history.record(failed)
             if self._try_again(failed):
