Store: decode each object of a page or a watch by itself

Ports out of range were taken for addresses.

Cause: a page was one JSON document, so that one entry took the others with it, and what the decoder raises for deep nesting was no decode error; the exception left the callback of the mirror, which never called again.

Change: the array of a document is split without recursion when the document can't be decoded as a whole; each item is decoded with limits on depth, digits and surrogates and is a record or a rejection with name and reason, logged once and counted. A rejected object keeps its last state. One list of decode errors for all boundaries. Ports, slots and times of workers' registrations have ranges.

The usual page is decoded as before, plus one walk over its containers.

--- a/citronjunction/gateway/constraints.py
+++ b/citronjunction/gateway/constraints.py
@@ -37,7 +37,7 @@
     return Turn(0, 1, 1)
 
 
-def forget_oldest(by_start: dict[str, object]) -> None:
+def forget_oldest(by_start: dict[abc.Hashable, object]) -> None:
     """Limit the number of starts that are remembered."""
     while len(by_start) > MAX_WORKERS:
         by_start.pop(next(iter(by_start)))
--- a/citronjunction/gateway/counting.py
+++ b/citronjunction/gateway/counting.py
@@ -35,7 +35,14 @@
     kind: str
 
 
-Event = RequestEnded | RequestRetried | KindSkipped
+@dataclasses.dataclass(slots=True, frozen=True)
+class ObjectRejected:
+    """A stored object of a kind that could not be decoded."""
+
+    kind: str
+
+
+Event = RequestEnded | RequestRetried | KindSkipped | ObjectRejected
 
 
 class Counts:
@@ -83,3 +90,5 @@
                 self.metrics.retries.add(1, {'evidence': evidence})
             case KindSkipped(kind=kind):
                 self.metrics.skipped_kinds.add(1, {'kind': kind})
+            case ObjectRejected(kind=kind):
+                self.metrics.rejected_objects.add(1, {'kind': kind})
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -3,7 +3,13 @@
 from collections import abc
 from typing import Protocol
 
-from citronjunction.gateway import adopting, context, fleet, models
+from citronjunction.gateway import (
+    adopting,
+    context,
+    fleet,
+    models,
+    rejections,
+)
 from citronjunction.store import eras, mirror, probing, records
 
 ROLLOUT_WAIT_FACTOR = 2  # rollouts are rare, so their watch waits longer
@@ -101,6 +107,7 @@
         )
         self.is_suspended = False
         self.is_following = False
+        self.rejections = rejections.Rejections(services)
         # Called with a kind after each change of its mirror.
         self.on_copy_advanced: abc.Callable[[str], None] = _do_nothing
         self.recovered_at: float | None = None
@@ -202,6 +209,10 @@
             lambda: self._remove_absent(worker),
         )
 
+    def on_rejected(self, kind: str, rejection: records.Rejection) -> None:
+        """Report that an object can't be decoded; its last state holds."""
+        self.rejections.record(kind, rejection)
+
     def on_synced(self, kind: str) -> None:
         """Log that the objects of a kind are completely listed."""
         self.services.log.write('synced', kind)
--- a/citronjunction/membership/messages.py
+++ b/citronjunction/membership/messages.py
@@ -10,18 +10,13 @@
 import cbor2
 import pydantic
 
+from citronjunction.documents import errors
 from citronjunction.membership import dialects, facts, packing
 
 PROTOCOL_VERSION = 2
 MAX_KINDS = 256  # that a build may name
 MAX_FIELDS = 64  # of a kind
-DECODE_ERRORS = (
-    ValueError,  # includes pydantic.ValidationError
-    cbor2.CBORDecodeError,
-    RecursionError,
-    TypeError,
-    OverflowError,
-)
+DECODE_ERRORS = (*errors.DECODE_ERRORS, cbor2.CBORDecodeError)
 
 
 class Role(enum.Enum):
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -44,6 +44,10 @@
             'citron_skipped_kinds',
             description='messages and facts of peers that were not read',
         )
+        self.rejected_objects = meter.create_counter(
+            'citron_rejected_objects',
+            description='stored objects that could not be decoded',
+        )
         self.first_token = meter.create_histogram(
             'citron_first_token',
             unit='s',
--- a/citronjunction/platform/object_store.py
+++ b/citronjunction/platform/object_store.py
@@ -4,7 +4,8 @@
 from collections import abc
 from urllib import parse as urls
 
-from citronjunction.platform import names
+from citronjunction.documents import errors, parts
+from citronjunction.platform import names, stored_objects
 from citronjunction.store import eras, records
 from citronjunction.transport import http_client
 from citronjunction.verdicts import models as verdicts
@@ -19,7 +20,6 @@
 FIRST_ERROR_STATUS = 300
 NOT_APPLIED = frozenset((429, 503))  # statuses of requests without effect
 MAX_ERA_DIGITS = 9
-DECODE_ERRORS = (ValueError, LookupError, TypeError, AttributeError)
 
 
 class ObjectStore:
@@ -171,7 +171,7 @@
         """Pass on the decoded reply; a malformed one counts as unavailable."""
         try:
             result = self.decode(reply)
-        except DECODE_ERRORS as error:
+        except errors.DECODE_ERRORS as error:
             reason = f'status {reply.status}, malformed body: {error}'
             result = records.Unavailable(reason, may_take_effect=True)
         self.on_result(result)
@@ -194,12 +194,7 @@
         """Decode a page of a list."""
         if reply.status >= FIRST_ERROR_STATUS:
             return super().decode(reply)
-        page = json.loads(reply.body)
-        listed = tuple(_decode_record(item) for item in page['entries'])
-        more = bool(page.get('hasMore')) and bool(listed)
-        return records.Page(
-            listed, page['asOf'], listed[-1].name if more else ''
-        )
+        return stored_objects.decode_page(reply.body)
 
 
 class _ChangesDecoder(_ReplyDecoder):
@@ -211,15 +206,7 @@
             return records.HistoryGone()
         if reply.status >= FIRST_ERROR_STATUS:
             return super().decode(reply)
-        document = json.loads(reply.body)
-        changes = tuple(
-            records.Change(
-                _decode_record(event['object']),
-                bool(event.get('tombstone')),
-            )
-            for event in document.get('events') or ()
-        )
-        return records.Changes(changes, document['asOf'])
+        return stored_objects.decode_changes(reply.body)
 
 
 class _RecordDecoder(_ReplyDecoder):
@@ -230,10 +217,10 @@
         if reply.status == NOT_FOUND:
             return records.Absent()
         if reply.status == CONFLICT:
-            return records.Conflict(_decode_conflict(reply.body))
+            return records.Conflict(stored_objects.decode_conflict(reply.body))
         if reply.status >= FIRST_ERROR_STATUS:
             return super().decode(reply)
-        return _decode_record(json.loads(reply.body))
+        return stored_objects.decode_record(parts.decode(reply.body))
 
 
 def _read_era(reply: http_client.Reply) -> int:
@@ -243,22 +230,6 @@
     return eras.UNKNOWN
 
 
-def _decode_record(document: dict[str, object]) -> records.Record:
-    meta = document['meta']
-    return records.Record(
-        meta['name'],
-        int(meta['rev']),
-        document.get('spec') or {},
-        document.get('status') or {},
-    )
-
-
-def _decode_conflict(body: bytes) -> records.Record | None:
-    document = json.loads(body or b'{}')
-    current = document.get('object', document)
-    return _decode_record(current) if 'meta' in current else None
-
-
 def _build_path(
     kind: str,
     name: str = '',
--- a/citronjunction/platform/registry.py
+++ b/citronjunction/platform/registry.py
@@ -1,13 +1,32 @@
 """Decoding of the registrations in which workers describe themselves."""
 
+import ipaddress
+from typing import Annotated
+
 import pydantic
 from absl import logging
 from pydantic import alias_generators
 
+from citronjunction.documents import errors
 from citronjunction.gateway import models
 
 MS_PER_S = 1000
 KIND = 'servers'
+MAX_PORT = 65535
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 86_400_000.0
+MAX_BORN_MS = 1 << 53
+
+
+def check_address(text: str) -> str:
+    """Return an address ``IP:PORT``, or raise ``ValueError``."""
+    host, _, port = text.rpartition(':')
+    ipaddress.IPv4Address(host)
+    if not (port.isdecimal() and port.isascii() and len(port) <= 5):
+        raise ValueError(f'port {port:.20} is not a number')
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f'port {port} is out of range')
+    return text
 
 
 class WireWorker(pydantic.BaseModel):
@@ -24,14 +43,18 @@
     )
 
     service: str = pydantic.Field(min_length=1)
-    addr: str = pydantic.Field(pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$')
+    addr: Annotated[str, pydantic.AfterValidator(check_address)]
     zone: str
     version: str = ''
-    slots: int = pydantic.Field(default=1, ge=1)
+    slots: int = pydantic.Field(default=1, ge=1, le=MAX_SLOTS)
     state: str
-    cold_left_ms: float = 0  # remaining time of the slow phase after its start
+    # Remaining time of the slow phase after its start.
+    cold_left_ms: float = pydantic.Field(
+        default=0, le=MAX_COLD_MS, allow_inf_nan=False
+    )
     spot: bool = False
-    born: int = 0  # start time in Unix milliseconds
+    # Start time in Unix milliseconds.
+    born: int = pydantic.Field(default=0, ge=0, le=MAX_BORN_MS)
 
 
 def decode(name: str, spec: object) -> models.WorkerRegistration | None:
@@ -39,7 +62,7 @@
     try:
         wire = WireWorker.model_validate(spec)
         state = models.WorkerState(wire.state)
-    except ValueError as error:
+    except errors.DECODE_ERRORS as error:
         reason = str(error).replace('\n', ' ')[:200]
         logging.warning(
             'registration of worker %.80s is malformed: %s', name, reason
--- /dev/null
+++ b/citronjunction/platform/stored_objects.py
@@ -0,0 +1,116 @@
+"""Decoding of the objects of the store, each by itself.
+
+Other programs write objects too: one that can't be decoded is rejected, and the
+others of a page or of a watch hold.
+"""
+
+from citronjunction.documents import errors, parts
+from citronjunction.store import records
+
+
+def decode_page(body: bytes) -> records.Page:
+    """Return a page of a list; raise a decode error for a malformed one."""
+    page, items = parts.load(body, 'entries')
+    decoded = [_decode_item(item) for item in items]
+    named = [item.name for item in decoded if item.name]
+    has_more = bool(page.get('hasMore')) and bool(decoded)
+    if has_more and not named:
+        raise parts.PartError('no object of the page can be decoded')
+    return records.Page(
+        tuple(item for item in decoded if isinstance(item, records.Record)),
+        int(page['asOf']),
+        named[-1] if has_more else '',
+        _select_rejections(decoded),
+    )
+
+
+def decode_changes(body: bytes) -> records.Changes:
+    """Return the changes of a watch; raise a decode error for malformed ones."""
+    document, events = parts.load(body, 'events')
+    decoded = [_decode_event(event) for event in events]
+    return records.Changes(
+        tuple(item for item in decoded if isinstance(item, records.Change)),
+        int(document['asOf']),
+        _select_rejections(decoded),
+    )
+
+
+def decode_record(document: object) -> records.Record:
+    """Return a stored object; raise a decode error for a malformed one."""
+    meta = document['meta']
+    name = meta['name']
+    if not isinstance(name, str):
+        raise parts.PartError('the name is not a string')
+    return records.Record(
+        name,
+        int(meta['rev']),
+        document.get('spec') or {},
+        document.get('status') or {},
+    )
+
+
+def decode_conflict(body: bytes) -> records.Record | None:
+    """Return the object that a write conflicts with, if it is named."""
+    document = parts.decode(body or b'{}')
+    current = document.get('object', document)
+    return decode_record(current) if 'meta' in current else None
+
+
+def _decode_item(item: object) -> records.Record | records.Rejection:
+    if isinstance(item, parts.Undecodable):
+        return records.Rejection(_find_name(item.text), item.reason)
+    try:
+        return decode_record(item)
+    except errors.DECODE_ERRORS as error:
+        return records.Rejection(_get_name(item), repr(error))
+
+
+def _decode_event(event: object) -> records.Change | records.Rejection:
+    if isinstance(event, parts.Undecodable):
+        return _decode_broken_event(event)
+    try:
+        changed = decode_record(event['object'])
+    except errors.DECODE_ERRORS as error:
+        name = _get_name(event.get('object')) if isinstance(event, dict) else ''
+        return records.Rejection(name, repr(error))
+    return records.Change(changed, bool(event.get('tombstone')))
+
+
+def _decode_broken_event(
+    event: parts.Undecodable,
+) -> records.Change | records.Rejection:
+    """Return the removal of an object that can't be decoded, or reject it."""
+    try:
+        fields = parts.split_object(event.text)
+        is_removed = bool(parts.decode(fields.get('tombstone', b'false')))
+        name = _find_name(fields['object'])
+    except errors.DECODE_ERRORS as error:
+        return records.Rejection('', f'{event.reason}, {error!r}')
+    if is_removed and name:
+        return records.Change(records.Record(name, 0, {}, {}), is_removed)
+    return records.Rejection(name, event.reason)
+
+
+def _find_name(text: bytes) -> str:
+    """Return the name in the text of an object, empty if there is none."""
+    try:
+        meta = parts.split_object(parts.split_object(text)['meta'])
+        name = parts.decode(meta['name'])
+    except errors.DECODE_ERRORS:
+        return ''
+    return name if isinstance(name, str) else ''
+
+
+def _get_name(document: object) -> str:
+    match document:
+        case {'meta': {'name': str(name)}}:
+            return name
+    return ''
+
+
+def _select_rejections(
+    decoded: list[object],
+) -> tuple[records.Rejection, ...]:
+    return tuple(
+        item for item in decoded if isinstance(item, records.Rejection)
+    )
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -26,6 +26,9 @@
     def on_removed(self, kind: str, name: str) -> None:
         """Handle the removal of an object."""
 
+    def on_rejected(self, kind: str, rejection: records.Rejection) -> None:
+        """Handle an object that can't be decoded; its last state holds."""
+
     def on_synced(self, kind: str) -> None:
         """Handle the completion of the mirror by a list or a peer's copy."""
 
@@ -203,6 +206,9 @@
         for record in page.records:
             self.listed_names.add(record.name)
             self._apply_record(record)
+        for rejection in page.rejections:
+            self.listed_names.add(rejection.name)
+            self.listener.on_rejected(self.kind, rejection)
         if page.after:
             self._list(page.after)
             return
@@ -246,6 +252,8 @@
                 self._mark_reachable()
                 for change in result.changes:
                     self._apply_change(change)
+                for rejection in result.rejections:
+                    self.listener.on_rejected(self.kind, rejection)
                 if result.changes:
                     names = [change.record.name for change in result.changes]
                     self._advance(result.as_of, names)
--- a/citronjunction/store/records.py
+++ b/citronjunction/store/records.py
@@ -15,6 +15,14 @@
     status: abc.Mapping[str, object]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rejection:
+    """Stored object that can't be decoded; its name is empty if unknown."""
+
+    name: str
+    reason: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Page:
     """Page of a list as of a revision.
@@ -25,6 +33,7 @@
     records: tuple[Record, ...]
     as_of: int
     after: str
+    rejections: tuple[Rejection, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -41,6 +50,7 @@
 
     changes: tuple[Change, ...]
     as_of: int
+    rejections: tuple[Rejection, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/gateway/test_copying.py
+++ b/tests/gateway/test_copying.py
@@ -17,6 +17,9 @@
     def on_removed(self, kind, name):
         """Ignore the removal."""
 
+    def on_rejected(self, kind, rejection):
+        """Ignore the rejection."""
+
     def on_synced(self, kind):
         """Ignore the list."""
 
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -13,6 +13,7 @@
 
     While ``is_down``, calls are not answered; the next ``lost_answers``
     writes take effect without an answer. ``era`` rises with each restore.
+    ``raw`` maps strings in objects to the bytes that stand for them in answers.
     """
 
     def __init__(self, host):
@@ -25,6 +26,8 @@
         self.watches = []
         self.is_down = False
         self.lost_answers = 0
+        self.page_size = 500
+        self.raw = {}
         self.writes = []
         self.calls = 0
         self.reads = 0
@@ -80,7 +83,7 @@
         if request.method == 'GET' and 'watch' in query:
             self._watch(exchange, kind, query)
         elif request.method == 'GET':
-            self._read(exchange, kind, name)
+            self._read(exchange, kind, name, query.get('after', ''))
         else:
             self._write(exchange, kind, name)
 
@@ -89,22 +92,26 @@
 
     def _respond(self, exchange, status, document):
         headers = {**JSON, 'Store-Era': str(self.era)}
-        exchange.respond(status, headers, json.dumps(document).encode())
+        body = json.dumps(document).encode()
+        for text, wire in self.raw.items():
+            body = body.replace(json.dumps(text).encode(), wire)
+        exchange.respond(status, headers, body)
 
-    def _read(self, exchange, kind, name):
+    def _read(self, exchange, kind, name, after):
         if name:
             self.reads += 1
             stored = self.objects.get((kind, name))
             self._respond(exchange, 200 if stored else 404, stored or {})
             return
-        entries = [
-            stored
-            for (stored_kind, _), stored in self.objects.items()
-            if stored_kind == kind
-        ]
+        names = sorted(
+            stored_name
+            for stored_kind, stored_name in self.objects
+            if stored_kind == kind and stored_name > after
+        )
+        page = names[: self.page_size]
         document = {
-            'entries': entries,
-            'hasMore': False,
+            'entries': [self.objects[(kind, listed)] for listed in page],
+            'hasMore': len(names) > len(page),
             'asOf': self.revision,
         }
         self._respond(exchange, 200, document)
