Store, health: limit the exponent of a backoff

What callers would see: after ten minutes in which lists fail while other calls succeed, a gateway never follows the store again (CONFIG, DRAIN).

Cause: the pause after the 1025th failure is 2 to that power before it is limited, which no float holds; the OverflowError left the timer of the retry. A worker that is ejected that often in a row would have ended its request the same way.

Evidence: test_a_mirror_goes_on_after_lists_failed_for_long failed before with that error, and passes. While the probe fails too, as when the whole store is away, the mirrors are suspended and did not count failures.

--- a/citronjunction/gateway/health.py
+++ b/citronjunction/gateway/health.py
@@ -10,6 +10,7 @@
 CONSECUTIVE_FAILURES = 3  # failed or unanswered requests until ejection
 FIRST_EJECTION_S = 1.0  # doubles; a crashed worker returns in some seconds
 MAX_EJECTION_S = 8.0
+MAX_DOUBLINGS = 8  # of the time of an ejection
 UNREACHABLE_S = 0.5  # ejection after one failed connection attempt
 WINDOW_S = 3.0  # window in which answers and failures are counted
 BUCKET_S = 0.5  # resolution of the window
@@ -129,5 +130,5 @@
         self.recent.clear()
         self.set_peer_counts(0, 0)
         ejection_s = min(MAX_EJECTION_S, base_s * 2**self.ejections)
-        self.ejections += 1
+        self.ejections = min(MAX_DOUBLINGS, self.ejections + 1)
         self.ejected_until = now + ejection_s
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -15,6 +15,7 @@
 # large fleet knows whether it follows its peers instead.
 FIRST_WATCH_DELAY_S = 1.1
 MAX_RETRY_S = 0.6  # changes must arrive well within 2 s after an outage
+MAX_DOUBLINGS = 8  # of the pause after failures
 
 
 class Listener(Protocol):
@@ -308,7 +309,8 @@
     def _retry(self) -> None:
         self.failures += 1
         self._mark_unreachable()
-        pause_s = min(MAX_RETRY_S, MIN_RETRY_S * 2**self.failures)
+        doublings = min(self.failures, MAX_DOUBLINGS)
+        pause_s = min(MAX_RETRY_S, MIN_RETRY_S * 2**doublings)
         generation = self.generation
         self.timers.call_later(
             pause_s * (1 + self.random.random()) / 2,
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -13,6 +13,7 @@
 
     While ``is_down``, calls are not answered; the next ``lost_answers``
     writes take effect without an answer. ``era`` rises with each restore.
+    With ``fails_lists``, lists are answered with status 500.
     ``raw`` maps strings in objects to the bytes that stand for them in answers.
     """
 
@@ -25,6 +26,7 @@
         self.oldest_revision = 0
         self.watches = []
         self.is_down = False
+        self.fails_lists = False
         self.lost_answers = 0
         self.page_size = 500
         self.raw = {}
@@ -63,6 +65,10 @@
         self.history = [
             change for change in self.history if change[0] <= self.revision
         ]
+        self.cut_watches()
+
+    def cut_watches(self):
+        """Cut off the watches that wait."""
         for exchange, _, _ in self.watches:
             exchange.abort()
         self.watches.clear()
@@ -103,6 +109,9 @@
             stored = self.objects.get((kind, name))
             self._respond(exchange, 200 if stored else 404, stored or {})
             return
+        if self.fails_lists:
+            self._respond(exchange, 500, {})
+            return
         names = sorted(
             stored_name
             for stored_kind, stored_name in self.objects
