Transport, store: an error ends no connection attempt, timer or mirror

Cause: Sockets.dial raised OSError; it left the timer in which a mirror begins again, and nothing else began it. The class of fault: a chain of calls and timers that any error ends for good.

Change: dial raises nothing, its receiver gets the close; an error of a timer's callback or of a receiver is logged and stops no other one; a listener without descriptors pauses instead of being asked for errors in a loop; each step of a mirror says by when the next one is due, and a mirror that is overdue starts again with a log line.

--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -16,6 +16,7 @@
 # Time after a restore of the store in which the platform removes registrations
 # of workers that are silent.
 RESTORED_WORKERS_S = 4.5
+REVIVE_INTERVAL_S = 0.5  # between checks that the mirrors go on
 
 
 class Decoder(Protocol):
@@ -126,6 +127,7 @@
         for kind_mirror in self.mirrors.values():
             kind_mirror.start()
         self.probe.start()
+        self.services.timers.call_every(REVIVE_INTERVAL_S, self._revive)
 
     def set_following(self, *, is_following: bool) -> None:
         """Follow peers for all kinds, or watch the store again.
@@ -227,6 +229,11 @@
             self.recovered_at = self.services.timers.now()
         self.services.log.write('store', kind, is_reachable=is_reachable)
 
+    def _revive(self) -> None:
+        for kind, kind_mirror in self.mirrors.items():
+            if kind_mirror.revive():
+                self.services.log.write('mirror restarted', kind)
+
     def _begin_era(self) -> None:
         era = self.eras.current
         is_first = all(
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -3,7 +3,7 @@
 import collections
 import random
 from collections import abc
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from citronjunction.store import eras, records
 from citronjunction.transport import timer_queue
@@ -16,6 +16,10 @@
 FIRST_WATCH_DELAY_S = 1.1
 MAX_RETRY_S = 0.6  # changes must arrive well within 2 s after an outage
 MAX_DOUBLINGS = 8  # of the pause after failures
+STEP_S = 1.0  # within which an answer or a timer leads to the next call
+MAX_CALL_S = 12.0  # of a list, or of a watch beyond its wait
+
+Result = TypeVar('Result')
 
 
 class Listener(Protocol):
@@ -81,6 +85,8 @@
         self.changes: collections.deque[tuple[int, str]] = collections.deque()
         self.changes_since = 0
         self.answered_at = float('-inf')
+        # When the next step is overdue: an error has ended the chain of calls.
+        self.overdue_at = float('inf')
         self.is_following = False
         self.is_synced = False
         self.is_listed = False
@@ -93,9 +99,17 @@
         self.listed_names.clear()
         self._list('')
 
+    def revive(self) -> bool:
+        """Start again if the next step is overdue; return whether it was."""
+        is_overdue = self.timers.now() > self.overdue_at
+        if is_overdue:
+            self.start()
+        return is_overdue
+
     def follow(self) -> None:
         """Stop calling the store; only apply peers' copies until ``start``."""
         self.generation += 1
+        self.overdue_at = float('inf')
         self.is_following = True
 
     def poll(self) -> None:
@@ -124,6 +138,7 @@
     def suspend(self) -> None:
         """Mark the store unreachable; ignore pending calls, which may hang."""
         self.generation += 1
+        self.overdue_at = float('inf')
         self._mark_unreachable()
 
     @property
@@ -185,17 +200,31 @@
             self.changes_since = self.changes.popleft()[0]
         self.listener.on_advanced(self.kind)
 
+    def _expect_step(self, within_s: float) -> None:
+        if not self.is_following:
+            self.overdue_at = self.timers.now() + within_s
+
     def _list(self, after: str) -> None:
         generation = self.generation
+        self._expect_step(MAX_CALL_S)
         self.store.list_page(
             self.kind,
             after,
-            lambda result: self._on_list(generation, result),
+            lambda result: self._receive(self._on_list, generation, result),
         )
 
-    def _on_list(self, generation: int, result: records.ListResult) -> None:
-        if generation != self.generation:
-            return
+    def _receive(
+        self,
+        handle: abc.Callable[[Result], None],
+        generation: int,
+        result: Result,
+    ) -> None:
+        """Handle the result of a call unless a later start replaced it."""
+        if generation == self.generation:
+            self._expect_step(STEP_S)
+            handle(result)
+
+    def _on_list(self, result: records.ListResult) -> None:
         match result:
             case records.Page():
                 self._mark_reachable()
@@ -238,16 +267,15 @@
             self._watch_later(delay_s)
             return
         generation = self.generation
+        self._expect_step(self.wait_s + MAX_CALL_S)
         self.store.watch(
             self.kind,
             self.as_of,
             self.wait_s,
-            lambda result: self._on_watch(generation, result),
+            lambda result: self._receive(self._on_watch, generation, result),
         )
 
-    def _on_watch(self, generation: int, result: records.WatchResult) -> None:
-        if generation != self.generation:
-            return
+    def _on_watch(self, result: records.WatchResult) -> None:
         match result:
             case records.Changes():
                 self._mark_reachable()
@@ -272,6 +300,7 @@
 
     def _watch_later(self, delay_s: float) -> None:
         generation = self.generation
+        self._expect_step(delay_s + STEP_S)
         self.timers.call_later(
             delay_s,
             lambda: self._watch() if generation == self.generation else None,
@@ -311,6 +340,7 @@
         self._mark_unreachable()
         doublings = min(self.failures, MAX_DOUBLINGS)
         pause_s = min(MAX_RETRY_S, MIN_RETRY_S * 2**doublings)
+        self._expect_step(pause_s + STEP_S)
         generation = self.generation
         self.timers.call_later(
             pause_s * (1 + self.random.random()) / 2,
--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import circuits
+from absl import logging
 from circuits.core import handlers
 
 from citronjunction.transport import poller, timer_queue
@@ -14,6 +15,8 @@
 RECEIVE_BYTES = 65536  # per read
 BACKLOG = 1024  # connections
 MAX_ACCEPTS_PER_EVENT = 64
+ACCEPT_PAUSE_S = 0.1  # after a lack of descriptors or buffers
+EXHAUSTED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
 CLOSED_BY_PEER = 'closed by peer'
 CONNECT_TIMED_OUT = 'connect timed out'
@@ -42,10 +45,11 @@
 class Connection:
     """Store the state of a socket; times are monotonic seconds.
 
-    ``active_at`` is when it opened or last sent or received bytes.
+    ``active_at`` is when it opened or last sent or received bytes. There is no
+    socket if the system could not provide one.
     """
 
-    sock: socket.socket
+    sock: socket.socket | None
     peer_address: str
     receiver: Receiver | None = None
     unsent: bytearray = dataclasses.field(default_factory=bytearray)
@@ -89,23 +93,20 @@
         receiver: Receiver,
         timeout_s: float,
     ) -> Connection:
-        """Connect to ``IP:PORT`` without blocking; report to the receiver."""
-        host, _, port = address.rpartition(':')
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        set_tcp_options(sock)
-        connection = Connection(sock, address, receiver)
-        self.connections[sock] = connection
+        """Connect to ``IP:PORT`` without blocking; report to the receiver.
+
+        No error is raised: the receiver gets the close of the connection.
+        """
+        connection = Connection(None, address, receiver)
         connection.connect_timer = self.timers.call_later(
             timeout_s,
             lambda: self.close(connection, CONNECT_TIMED_OUT),
         )
-        code = sock.connect_ex((host, int(port)))
-        if code and code not in IN_PROGRESS:
-            reason = errno.errorcode.get(code, str(code))
-            self.timers.call_later(0, lambda: self.close(connection, reason))
-            return connection
-        self.poller.addWriter(self, sock)
+        try:
+            self._connect(connection, address)
+        except (OSError, ValueError, OverflowError) as error:
+            # No descriptor is left, or the address can't be used.
+            self._close_later(connection, f'{address}: {error}')
         return connection
 
     def send(self, connection: Connection, chunk: bytes) -> None:
@@ -141,13 +142,30 @@
         connection.is_closed = True
         if connection.connect_timer is not None:
             connection.connect_timer.cancel()
-        self.poller.discard(connection.sock)
-        self.connections.pop(connection.sock, None)
-        connection.sock.close()
+        if connection.sock is not None:
+            self.poller.discard(connection.sock)
+            self.connections.pop(connection.sock, None)
+            connection.sock.close()
         connection.unsent.clear()
         if connection.receiver is not None:
             connection.receiver.on_close(reason, connection.is_open)
 
+    def _connect(self, connection: Connection, address: str) -> None:
+        """Begin to connect; raise an error if the system can't."""
+        host, _, port = address.rpartition(':')
+        target = (host, int(port))
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.sock = sock
+        self.connections[sock] = connection
+        sock.setblocking(False)
+        set_tcp_options(sock)
+        code = sock.connect_ex(target)
+        if code and code not in IN_PROGRESS:
+            reason = errno.errorcode.get(code, str(code))
+            self._close_later(connection, reason)
+            return
+        self.poller.addWriter(self, sock)
+
     def _buffer_unsent(self, connection: Connection, chunk: bytes) -> None:
         connection.unsent.extend(chunk)
         if len(connection.unsent) > connection.max_unsent:
@@ -175,7 +193,7 @@
             self.close(connection, CLOSED_BY_PEER)
             return
         connection.active_at = self.timers.now()
-        connection.receiver.on_bytes(chunk)
+        self._notify(connection, lambda: connection.receiver.on_bytes(chunk))
 
     @handlers.handler('_write')
     def _on_writable(self, sock: socket.socket) -> None:
@@ -201,9 +219,19 @@
         connection.is_open = True
         connection.active_at = self.timers.now()
         self.poller.addReader(self, connection.sock)
-        connection.receiver.on_open()
+        self._notify(connection, connection.receiver.on_open)
         return not connection.is_closed
 
+    def _notify(
+        self, connection: Connection, notify: abc.Callable[[], None]
+    ) -> None:
+        """Notify the receiver; its connection is closed if that fails."""
+        try:
+            notify()
+        except Exception as error:
+            logging.exception('connection failed: %r', error)
+            self.close(connection, f'internal error: {error!r}')
+
     def _flush(self, connection: Connection) -> None:
         if connection.unsent:
             try:
@@ -226,7 +254,9 @@
         for _ in range(MAX_ACCEPTS_PER_EVENT):
             try:
                 sock, address = listener.accept()
-            except OSError:
+            except OSError as error:
+                if error.errno in EXHAUSTED:
+                    self._pause_accepting(listener)
                 return
             sock.setblocking(False)
             set_tcp_options(sock)
@@ -237,6 +267,14 @@
             self.poller.addReader(self, sock)
             connection.receiver = accept(connection)
 
+    def _pause_accepting(self, listener: socket.socket) -> None:
+        """Leave new connections in the backlog for a while."""
+        self.poller.removeReader(listener)
+        self.timers.call_later(
+            ACCEPT_PAUSE_S,
+            lambda: self.poller.addReader(self, listener),
+        )
+
 
 def set_tcp_options(sock: socket.socket) -> None:
     """Disable send delays and detect a peer that no longer answers."""
--- a/citronjunction/transport/timer_queue.py
+++ b/citronjunction/transport/timer_queue.py
@@ -7,6 +7,7 @@
 from collections import abc
 
 import circuits
+from absl import logging
 from circuits.core import handlers
 
 Callback = abc.Callable[[], None]
@@ -79,7 +80,15 @@
         while self.heap and self.heap[0].due_at <= now:
             callback = heapq.heappop(self.heap).callback
             if callback is not None:
-                callback()
+                _run(callback)
         if self.heap:
             wait_s = max(0, self.heap[0].due_at - time.monotonic())
             event.reduce_time_left(wait_s)
+
+
+def _run(callback: Callback) -> None:
+    """Run a callback; an error is logged and does not stop other timers."""
+    try:
+        callback()
+    except Exception as error:
+        logging.exception('timer failed: %r', error)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -27,6 +27,8 @@
         self.refusals = set()
         # As by a TCP user timeout; None: bytes are lost without a trace.
         self.user_timeout_s = None
+        # Called with errors of hosts, which go on, as a process does.
+        self.on_error = None
 
     def add_host(self, name):
         host = Host(self, name)
@@ -77,7 +79,13 @@
         if host.paused_until > self.now:
             self.schedule(host.paused_until, host, event.call)
             return
-        event.call()
+        if self.on_error is None:
+            event.call()
+            return
+        try:
+            event.call()
+        except Exception as error:
+            self.on_error(error)
 
 
 class Event:
