Gateway: a stop waits for bytes that callers still read

Cause: a request counted as over once its answer was handed to the socket; the stop dropped what the socket had not sent.

Change: the stop also waits for connections with unsent bytes, within the same share of the grace period; the line `stopped` counts those that it cuts.

--- a/citronjunction/gateway/stopping.py
+++ b/citronjunction/gateway/stopping.py
@@ -41,7 +41,8 @@
         owner = self.owner
         now = owner.loop.timers.now()
         waited_s = now - self.stopped_at
-        if owner.services.flows:
+        unsent = owner.http_server.count_unsent()
+        if owner.services.flows or unsent:
             self.busy_at = now
         if waited_s >= REFUSE_AFTER_S:
             owner.services.is_leaving = True
@@ -49,6 +50,9 @@
         is_late = waited_s > owner.settings.gateway.grace_s * GRACE_SHARE
         if is_late or (owner.services.is_leaving and is_quiet):
             owner.log.write(
-                'stopped', owner.name, cut=len(owner.services.flows)
+                'stopped',
+                owner.name,
+                cut=len(owner.services.flows),
+                unsent=unsent,
             )
             owner.loop.stop_loop()
--- a/citronjunction/transport/http_server.py
+++ b/citronjunction/transport/http_server.py
@@ -385,6 +385,12 @@
             )
         return receiver
 
+    def count_unsent(self) -> int:
+        """Return the number of connections with bytes that wait to be sent."""
+        return sum(
+            bool(receiver.connection.unsent) for receiver in self.connections
+        )
+
     def _sweep(self) -> None:
         now = self.timers.now()
         for receiver in tuple(self.connections):
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -105,3 +105,33 @@
     assert answer.status == 503
     assert float(answer.headers['retry-after']) > 0
     assert list_entries(deployed) == []
+
+
+def test_a_stop_waits_for_bytes_that_callers_still_read(deployed):
+    """Guard against LOST: answers were cut that callers were reading."""
+    gateway = deployed.gateways['gateway-0']
+    host = deployed.gateway_hosts['gateway-0']
+    deployed.ask('/unsafe/x', method='POST', run_s=0.5)
+    reading = next(iter(gateway.http_server.connections))
+    reading.connection.unsent.extend(b'the end of an answer')
+
+    host.on_stop()
+    deployed.world.run(6)
+    assert host.is_alive
+    reading.connection.unsent.clear()
+    deployed.world.run(1)
+    assert not host.is_alive
+
+
+def test_a_stop_ends_before_the_kill_beside_a_caller_that_reads_nothing(
+    deployed,
+):
+    gateway = deployed.gateways['gateway-0']
+    host = deployed.gateway_hosts['gateway-0']
+    deployed.ask('/unsafe/x', method='POST', run_s=0.5)
+    reading = next(iter(gateway.http_server.connections))
+    reading.connection.unsent.extend(b'the end of an answer')
+
+    host.on_stop()
+    deployed.world.run(gateway.settings.gateway.grace_s)
+    assert not host.is_alive
