Commands: a gateway records SIGHUP before its other imports

Cause: the handler was installed after the imports and the construction of the node.

Change: the first import of the program records the signal; once the node stands, the settings are read again if it came. The time that the interpreter itself takes to start stays uncovered.

--- a/citronjunction/commands/gateway.py
+++ b/citronjunction/commands/gateway.py
@@ -1,5 +1,8 @@
 """citron-gateway: serve callers on the users' platform."""
 
+# Comes first, since the other imports take as long as a signal needs to arrive.
+from citronjunction.commands import reload_signals
+
 from typing import Annotated
 
 import expression
@@ -66,6 +69,7 @@
         )
         server.listen(*node.split_address(address))
     loop.watch_reload(lambda: reload_settings(gateway, config))
+    reload_signals.pass_on(lambda: reload_settings(gateway, config))
     return gateway
 
 
