Store: a list of several pages is watched from its first page

Change: the revision of a list is that of its first page. The watch then repeats what later pages may hold already: an older state is ignored, as before, and now a removal that is older than the object's state too.

--- a/citronjunction/platform/stored_objects.py
+++ b/citronjunction/platform/stored_objects.py
@@ -83,22 +83,27 @@
     try:
         fields = parts.split_object(event.text)
         is_removed = bool(parts.decode(fields.get('tombstone', b'false')))
-        name = _find_name(fields['object'])
+        meta = _decode_meta(fields['object'])
     except errors.DECODE_ERRORS as error:
         return records.Rejection('', f'{event.reason}, {error!r}')
-    if is_removed and name:
-        return records.Change(records.Record(name, 0, {}, {}), is_removed)
-    return records.Rejection(name, event.reason)
+    if not is_removed:
+        return records.Rejection(meta.name, event.reason)
+    return records.Change(meta, is_removed)
 
 
 def _find_name(text: bytes) -> str:
     """Return the name in the text of an object, empty if there is none."""
     try:
-        meta = parts.split_object(parts.split_object(text)['meta'])
-        name = parts.decode(meta['name'])
+        return _decode_meta(text).name
     except errors.DECODE_ERRORS:
         return ''
-    return name if isinstance(name, str) else ''
+
+
+def _decode_meta(text: bytes) -> records.Record:
+    """Return an object without its spec; raise a decode error if it can't."""
+    meta = parts.split_object(parts.split_object(text)['meta'])
+    named = {name: parts.decode(meta[name]) for name in ('name', 'rev')}
+    return decode_record({'meta': named})
 
 
 def _get_name(document: object) -> str:
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -73,6 +73,9 @@
         # era is complete.
         self.earlier_records: dict[str, records.Record] = {}
         self.listed_names: set[str] = set()
+        # The revision of the first page of the current list. Later pages may
+        # miss changes after it of objects on earlier ones.
+        self.first_page_as_of: int | None = None
         self.era = eras.UNKNOWN
         self.as_of = 0
         # The revision of the first complete list of the era.
@@ -96,8 +99,7 @@
         """Start a list; the results of earlier calls are then ignored."""
         self.generation += 1
         self.is_following = False
-        self.listed_names.clear()
-        self._list('')
+        self._list_all()
 
     def revive(self) -> bool:
         """Start again if the next step is overdue; return whether it was."""
@@ -115,8 +117,7 @@
     def poll(self) -> None:
         """List once while following peers; a failed list changes nothing."""
         self.generation += 1
-        self.listed_names.clear()
-        self._list('')
+        self._list_all()
 
     def begin_era(self, era: int) -> None:
         """Start over in a later era, whose revisions can't be compared."""
@@ -204,6 +205,11 @@
         if not self.is_following:
             self.overdue_at = self.timers.now() + within_s
 
+    def _list_all(self) -> None:
+        self.listed_names.clear()
+        self.first_page_as_of = None
+        self._list('')
+
     def _list(self, after: str) -> None:
         generation = self.generation
         self._expect_step(MAX_CALL_S)
@@ -233,6 +239,8 @@
                 self._retry()
 
     def _apply_page(self, page: records.Page) -> None:
+        if self.first_page_as_of is None:
+            self.first_page_as_of = page.as_of
         for record in page.records:
             self.listed_names.add(record.name)
             self._apply_record(record)
@@ -243,8 +251,8 @@
             self._list(page.after)
             return
         # A list that is older than a peer's copy must not replace it.
-        if page.as_of >= self.as_of:
-            self._finish_list(self.listed_names, page.as_of)
+        if self.first_page_as_of >= self.as_of:
+            self._finish_list(self.listed_names, self.first_page_as_of)
         if not self.is_following:
             self._watch()
 
@@ -307,10 +315,13 @@
         )
 
     def _apply_change(self, change: records.Change) -> None:
-        if change.is_removed:
-            self._remove(change.record.name)
-        else:
+        if not change.is_removed:
             self._apply_record(change.record)
+            return
+        known = self.records.get(change.record.name)
+        # The object may have been created again before it was listed.
+        if known is None or known.revision <= change.record.revision:
+            self._remove(change.record.name)
 
     def _apply_record(self, record: records.Record) -> None:
         known = self.records.get(record.name)
