HTTP: bodies are freed with their requests, and bounded in sum

Cause: the reader of a response and its parser refer to each other and to the call, so its body waited for a full run of the cycle collector; idle connections kept the body of their last call; nothing bounded the bytes of all bodies.

Change: the parser goes when the response has ended, the body of a call when it was sent. A budget for the bodies of all requests in progress follows from the memory limit in the settings, and the limit on callers' connections from that on descriptors, less what workers, peers, the store and readiness need; a body without room is refused at once as not run, with a time to return. The template writes both limits.

--- a/citronjunction/commands/gateway.py
+++ b/citronjunction/commands/gateway.py
@@ -9,7 +9,7 @@
 import typer
 
 from citronjunction.commands import common
-from citronjunction.conf import loader
+from citronjunction.conf import budgets, loader
 from citronjunction.conf import models as conf
 from citronjunction.gateway import node, scraping
 from citronjunction.observability import output
@@ -34,6 +34,7 @@
     config: str,
 ) -> node.GatewayNode:
     """Build a gateway with the platform's adapter and its listeners."""
+    budgets.limit_http(settings)
     store_eras = eras.Eras(loop.timers)
     store = object_store.ObjectStore(
         loop.client,
--- a/citronjunction/conf/models.py
+++ b/citronjunction/conf/models.py
@@ -34,6 +34,10 @@
     zone: str = describe('data centre of the host', 'casa-voyageurs')
     address: str = describe('IP address to listen on', '127.0.0.1')
     cores: Cores = describe('processor cores of the host', 1.0, 'cores')
+    memory_mb: Amount = describe('memory limit; 0: unknown', 0, 'MB')
+    descriptors: Amount = describe(
+        'limit of file descriptors; 0: the soft limit of the process', 0
+    )
     port: Port = describe('TCP port for callers; 0: any free', 8080)
     peer_port: Port = describe('TCP port for peers; 0: any free', 8081)
     operator_token: str = describe(
@@ -64,6 +68,9 @@
         'bytes',
     )
     max_connections: Count = describe('most open connections of callers', 4096)
+    max_bodies: Bytes = describe(
+        'bytes of the bodies of all requests in progress', 67108864, 'bytes'
+    )
     idle_s: Seconds = describe(
         'time until an idle connection is closed', 75.0, 's'
     )
--- a/citronjunction/gateway/application.py
+++ b/citronjunction/gateway/application.py
@@ -63,7 +63,9 @@
         """Answer a request that is invalid, too large, or failed internally."""
         self.services.log.write('reject', '', status=status, reason=reason)
         failure = verdicts.NotRun(reason, 0, status, 'invalid_request')
-        if status >= http.MIN_SERVER_ERROR_STATUS:
+        if status == http_server.UNAVAILABLE:
+            failure = verdicts.NotRun(reason, RETRY_AFTER_S)
+        elif status >= http.MIN_SERVER_ERROR_STATUS:
             failure = verdicts.MayHaveRun(reason, status, 'internal')
         _respond(exchange, failure)
 
--- a/citronjunction/platform/upstream_calls.py
+++ b/citronjunction/platform/upstream_calls.py
@@ -7,7 +7,7 @@
 
 from citronjunction.gateway import models
 from citronjunction.platform import names
-from citronjunction.transport import http_client
+from citronjunction.transport import echoes, http_client
 
 MS_PER_S = 1000
 MISDIRECTED = 421
@@ -67,7 +67,7 @@
         silence_s=destination.deadline_s + RESPONSE_MARGIN_S,
         max_idle_s=destination.max_idle_s,
         host=request.host,
-        echo=http_client.Echo(ECHO_HEADER, request.name),
+        echo=echoes.Echo(ECHO_HEADER, request.name),
     )
 
 
--- a/citronjunction/transport/encoding.py
+++ b/citronjunction/transport/encoding.py
@@ -19,3 +19,16 @@
     for name, text in headers.items():
         line = text.replace('\r', ' ').replace('\n', ' ')
         yield name.encode('latin-1'), line.encode('latin-1', 'replace')
+
+
+def decode_headers(
+    fields: abc.Iterable[tuple[bytes, bytes]],
+) -> dict[str, str]:
+    """Decode header fields; those of one name are joined by commas."""
+    headers: dict[str, str] = {}
+    for raw_name, raw_text in fields:
+        name = raw_name.decode('latin-1')
+        text = raw_text.decode('latin-1')
+        previous = headers.get(name)
+        headers[name] = text if previous is None else f'{previous}, {text}'
+    return headers
--- a/citronjunction/transport/framing.py
+++ b/citronjunction/transport/framing.py
@@ -1,5 +1,9 @@
-"""Limit on the bytes of a message beside its body."""
+"""Limits on the heads of messages, and on bytes beside their bodies."""
 
+import h11
+
+BAD_REQUEST = 400
+HEAD_TOO_LARGE = 431
 OVERHEAD_PER_BODY_BYTE = 16  # allows for chunks of one byte
 
 
@@ -13,3 +17,18 @@
     if overhead <= base + OVERHEAD_PER_BODY_BYTE * body:
         return ''
     return f'{overhead} bytes beside {body} of the body'
+
+
+def check_head(head: h11.Request, max_bytes: int) -> None:
+    """Raise an error for a head that is too large or has two framings."""
+    names = [name for name, _ in head.headers]
+    if b'content-length' in names and b'transfer-encoding' in names:
+        raise h11.RemoteProtocolError(
+            'request has both Content-Length and Transfer-Encoding',
+            BAD_REQUEST,
+        )
+    size = len(head.target) + sum(
+        len(name) + len(text) for name, text in head.headers
+    )
+    if size > max_bytes:
+        raise h11.RemoteProtocolError('request head too large', HEAD_TOO_LARGE)
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from citronjunction.transport import (
+    echoes,
     keep_alive,
     responses,
     sockets,
@@ -24,19 +25,6 @@
 BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Echo:
-    """Name a header that the server echoes, to match responses to calls.
-
-    A response without it may be repeated later and then answer another call,
-    so its connection is not reused unless ``is_optional``.
-    """
-
-    name: str
-    text: str
-    is_optional: bool = False
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Call:
     """Describe one request to a server at ``IP:PORT``.
@@ -57,13 +45,7 @@
     limit_s: float = math.inf
     max_idle_s: float = keep_alive.MAX_IDLE_S
     host: str = ''
-    echo: Echo | None = None
-
-    def is_for_other_call(self, headers: abc.Mapping[str, str]) -> bool:
-        """Return whether a response with these headers is for another call."""
-        if self.echo is None:
-            return False
-        return headers.get(self.echo.name, self.echo.text) != self.echo.text
+    echo: echoes.Echo | None = None
 
     def is_identified_by(self, headers: abc.Mapping[str, str]) -> bool:
         """Return whether a later copy of a response can be told from others."""
@@ -149,7 +131,9 @@
         self.opened_at: float = 0
         self.loss_code = 'connection_lost'
         self.is_head_delivered = False
-        self.reader = responses.ResponseReader(call.is_for_other_call)
+        self.reader = responses.ResponseReader(
+            call.echo and call.echo.is_of_other_call
+        )
 
     def on_open(self) -> None:
         """Send the request."""
@@ -157,6 +141,7 @@
         self.opened_at = self.client.timers.now()
         self._start_silence_timer()
         request = encode_head(self.call) + self.call.body
+        self.call = dataclasses.replace(self.call, body=b'')
         self.client.sockets.send(self.connection, request)
 
     def on_bytes(self, chunk: bytes) -> None:
@@ -193,7 +178,7 @@
 
     def cancel(self) -> None:
         """Abandon the call and close its connection."""
-        self.sink = None
+        self._take_sink()
         self.client.sockets.close(self.connection, 'cancelled')
 
     def _finish_at_close(self, reason: str) -> None:
@@ -204,9 +189,14 @@
         self._fail(verdicts.MayHaveRun(text, code=self.loss_code))
 
     def _fail(self, failure: verdicts.Failure) -> None:
+        self._take_sink().on_failure(failure)
+
+    def _take_sink(self) -> Sink | None:
+        """Return the sink; nothing else is passed on, or kept in memory."""
         sink = self.sink
         self.sink = None
-        sink.on_failure(failure)
+        self.reader.release()
+        return sink
 
     def _deliver(self, part: bytes) -> None:
         reader = self.reader
@@ -235,8 +225,7 @@
         return True
 
     def _complete(self) -> None:
-        sink = self.sink
-        self.sink = None
+        sink = self._take_sink()
         self._cancel_silence_timer()
         if self._is_reusable():
             self.client.keep(self)
--- a/citronjunction/transport/http_server.py
+++ b/citronjunction/transport/http_server.py
@@ -8,14 +8,19 @@
 from absl import logging
 
 from citronjunction.conf import models
-from citronjunction.transport import encoding, framing, sockets, timer_queue
+from citronjunction.transport import (
+    bodies,
+    encoding,
+    framing,
+    sockets,
+    timer_queue,
+)
 
 SWEEP_INTERVAL_S = 1.0  # between checks for idle connections
 STREAM_END = b'0\r\n\r\n'
 BODY_TOO_LARGE = 413
-BAD_REQUEST = 400
-HEAD_TOO_LARGE = 431
 INTERNAL_ERROR = 500
+UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -192,6 +197,7 @@
     def on_close(self, reason: str, was_open: bool) -> None:
         """Report the caller's disconnect to the current exchange."""
         self.server.connections.discard(self)
+        self.server.bodies.release(self)
         if self.exchange is not None:
             self.exchange.handle_disconnect()
 
@@ -234,6 +240,7 @@
             max_incomplete_event_size=self.server.settings.max_head,
         )
         self.head: h11.Request | None = None
+        self.server.bodies.release(self)
         self.body = bytearray()
         self.received = 0
         self.exchange: Exchange | None = None
@@ -269,50 +276,39 @@
         base = 2 * self.server.settings.max_head
         excess = framing.describe_excess(self.received, len(self.body), base)
         if excess:
-            self._reject(BAD_REQUEST, excess)
+            self._reject(framing.BAD_REQUEST, excess)
 
     def _receive_head(self, head: h11.Request) -> None:
-        names = [name for name, _ in head.headers]
-        if b'content-length' in names and b'transfer-encoding' in names:
-            raise h11.RemoteProtocolError(
-                'request has both Content-Length and Transfer-Encoding',
-                BAD_REQUEST,
-            )
-        size = len(head.target) + sum(
-            len(name) + len(text) for name, text in head.headers
-        )
-        if size > self.server.settings.max_head:
-            raise h11.RemoteProtocolError(
-                'request head too large', HEAD_TOO_LARGE
-            )
+        framing.check_head(head, self.server.settings.max_head)
         self.head = head
         headers = dict(head.headers)
         connection_options = headers.get(b'connection', b'').lower()
         self.keeps_alive = (
             head.http_version == b'1.1' and b'close' not in connection_options
         )
-        if int(headers.get(b'content-length', b'0')) > self._max_body:
-            self._reject(
-                BODY_TOO_LARGE, f'request body exceeds {self._max_body} bytes'
-            )
-        elif headers.get(b'expect', b'').lower() == b'100-continue':
+        length = int(headers.get(b'content-length', b'0'))
+        is_expecting = headers.get(b'expect', b'').lower() == b'100-continue'
+        if self._admit_body(length) and is_expecting:
             self.send(b'HTTP/1.1 100 Continue\r\n\r\n')
 
-    @property
-    def _max_body(self) -> int:
-        return self.server.settings.max_body
-
     def _receive_body(self, chunk: bytes) -> None:
         self.body.extend(chunk)
-        if len(self.body) > self._max_body:
-            self._reject(
-                BODY_TOO_LARGE, f'request body exceeds {self._max_body} bytes'
-            )
+        self._admit_body(len(self.body))
+
+    def _admit_body(self, size: int) -> bool:
+        """Reject a body for which there is no room; return whether there is."""
+        limit = self.server.settings.max_body
+        if size > limit:
+            self._reject(BODY_TOO_LARGE, f'request body exceeds {limit} bytes')
+        elif not self.server.bodies.reserve(self, size):
+            self._reject(UNAVAILABLE, bodies.NO_ROOM)
+        return self.exchange is None
 
     def _dispatch(self) -> None:
         trailing, _ = self.parser.trailing_data
         self.pipelined.extend(trailing)
         request = self._build_request()
+        self.body = bytearray()
         self.started_at = None
         self.exchange = Exchange(self.server, self, request)
         try:
@@ -329,17 +325,11 @@
             return Request('GET', '/', '', {}, b'')
         target = self.head.target.decode('latin-1')
         path, _, query = target.partition('?')
-        headers: dict[str, str] = {}
-        for raw_name, raw_text in self.head.headers:
-            name = raw_name.decode('latin-1')
-            text = raw_text.decode('latin-1')
-            previous = headers.get(name)
-            headers[name] = text if previous is None else f'{previous}, {text}'
         return Request(
             self.head.method.decode('latin-1'),
             path,
             query,
-            headers,
+            encoding.decode_headers(self.head.headers),
             bytes(self.body),
             self.started_at or self.server.timers.now(),
         )
@@ -365,6 +355,7 @@
         self.settings = settings
         self.application = application
         self.connections: set[HttpConnection] = set()
+        self.bodies = bodies.BodyBudget(settings)
         self.is_closing = False
         self.port = 0
         timers.call_every(SWEEP_INTERVAL_S, self._sweep)
--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -47,11 +47,9 @@
         'status',
     )
 
-    def __init__(
-        self, is_for_other_call: IsForOtherCall = _is_never_for_other_call
-    ) -> None:
+    def __init__(self, is_for_other_call: IsForOtherCall | None = None) -> None:
         """Skip responses whose headers show that they are for another call."""
-        self.is_for_other_call = is_for_other_call
+        self.is_for_other_call = is_for_other_call or _is_never_for_other_call
         self.is_skipping = False
         self.is_in_head = True
         self.fed_bytes = 0
@@ -90,6 +88,10 @@
         self.body.clear()
         return part
 
+    def release(self) -> None:
+        """Drop the parser, which refers back to the reader."""
+        self.parser = None
+
     def finish(self) -> bool:
         """Return whether the response is complete as the connection ends."""
         if self.has_head and not self.is_framed:
--- a/tests/conf/test_template.py
+++ b/tests/conf/test_template.py
@@ -11,7 +11,7 @@
 from citronjunction.conf import loader, models
 
 TEMPLATE = pathlib.Path(__file__).parents[2] / 'deploy' / 'node.ini'
-PLACEHOLDER = re.compile(r'\{\{([\w.]+)\}\}')
+PLACEHOLDER = re.compile(r'\{\{([\w.]+)(?:\|json)?\}\}')
 TEXTS = {
     'node': 'edge-1',
     'region': 'maroc-nord',
@@ -27,6 +27,8 @@
 }
 FIGURES = {
     'limits.cpuShare': ('process', 'cores'),
+    'limits.memoryMb': ('process', 'memory_mb'),
+    'limits.maxFds': ('process', 'descriptors'),
     'bounds.graceS': ('gateway', 'grace_s'),
     'bounds.retryRatio': ('retries', 'ratio'),
     'bounds.retryWindowS': ('retries', 'window_s'),
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -5,7 +5,7 @@
 
 from citronjunction.commands import gateway as command
 from citronjunction.conf import models as conf
-from citronjunction.transport import http_client, http_server
+from citronjunction.transport import echoes, http_client, http_server
 from tests.support import platform_store, platform_worker, virtual
 
 PLATFORM = '10.9.0.1'
@@ -136,7 +136,7 @@
 
 def make_echo(name):
     """Return the header in which workers' answers repeat the request's name."""
-    return http_client.Echo('attempt-id', name, is_optional=True)
+    return echoes.Echo('attempt-id', name, is_optional=True)
 
 
 def make_directory_call(address):
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from citronjunction.transport import http_client, keep_alive, runtime
+from citronjunction.transport import (
+    echoes,
+    http_client,
+    keep_alive,
+    runtime,
+)
 from citronjunction.verdicts import models as verdicts
 from tests.support import live
 
@@ -98,7 +103,7 @@
     assert count == 1
 
 
-ECHO = http_client.Echo('x-call', 'own')
+ECHO = echoes.Echo('x-call', 'own')
 OWN = b'HTTP/1.1 200 OK\r\nX-Call: own\r\nContent-Length: 3\r\n\r\nown'
 OTHER = b'HTTP/1.1 200 OK\r\nX-Call: other\r\nContent-Length: 5\r\n\r\nother'
 BARE = b'HTTP/1.1 200 OK\r\n\r\nbody'
