Gateway: an entry asks peers too when its own watch is silent for a second

What callers would see: a worker that drains stays in use for up to 4.5 s after the connection of a watch has gone silent, at an entry whose other connections live. Found by looking for the cause of the incident elsewhere: the entry's own watch was its only source of the workers' list, and a dead watch waits like a live one.

Change: a mirror that the store has not answered for 1 s may be outdated; a peer is asked for newer copies once a second, and sends changes at once for 3 s. The store is not called.

Evidence: test_an_entry_whose_watch_is_silent_gets_changes_of_peers failed for the workers' list before; the configuration came by the peers' versions already.

--- a/citronjunction/gateway/copying.py
+++ b/citronjunction/gateway/copying.py
@@ -13,7 +13,7 @@
 from citronjunction.transport import links
 
 ASK_INTERVAL_S = 0.3  # a restarted entry is ready within two intervals
-FOLLOW_INTERVAL_S = 1.0  # for kinds that a standby entry follows at its peers
+FOLLOW_INTERVAL_S = 1.0  # for kinds that only may be outdated
 FOLLOWER_S = 3.0  # a follower that does not ask again gets no more changes
 PUSH_DELAY_S = 0.05  # collects changes that come together
 
@@ -58,7 +58,7 @@
         """Request a copy of each kind that may be outdated."""
         now = self.services.timers.now()
         for kind, kind_mirror in self.watcher.mirrors.items():
-            pause_s = FOLLOW_INTERVAL_S if kind_mirror.is_following else 0
+            pause_s = 0 if kind_mirror.lacks_store else FOLLOW_INTERVAL_S
             is_due = now - self.asked_at.get(kind, 0) >= pause_s
             if kind_mirror.needs_copy and is_due:
                 self.asked_at[kind] = now
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -16,6 +16,7 @@
 FIRST_WATCH_DELAY_S = 1.1
 MAX_RETRY_S = 0.6  # changes must arrive well within 2 s after an outage
 MAX_DOUBLINGS = 8  # of the pause after failures
+SILENT_S = 1.0  # of the store, after which peers are asked as well
 STEP_S = 1.0  # within which an answer or a timer leads to the next call
 MAX_CALL_S = 12.0  # of a list, or of a watch beyond its wait
 
@@ -143,10 +144,19 @@
         self._mark_unreachable()
 
     @property
-    def needs_copy(self) -> bool:
-        """Return whether a peer's copy may be newer than the mirror."""
+    def lacks_store(self) -> bool:
+        """Return whether the mirror is neither followed nor kept by the store."""
         is_current = self.is_synced and self.is_reachable
-        return self.is_following or not is_current
+        return not (self.is_following or is_current)
+
+    @property
+    def needs_copy(self) -> bool:
+        """Return whether a peer's copy may be newer than the mirror.
+
+        A watch that waits can't be told from one whose connection is dead.
+        """
+        silent_s = self.timers.now() - self.answered_at
+        return self.is_following or self.lacks_store or silent_s > SILENT_S
 
     def apply_copy(
         self,
--- a/tests/gateway/test_silent_sources.py
+++ b/tests/gateway/test_silent_sources.py
@@ -97,3 +97,29 @@
     for name in standbys:
         workers = fleet.gateways[name].services.fleet.workers
         assert workers['app-0'].is_draining
+
+
+@pytest.mark.parametrize('kind', ['config', 'servers'])
+def test_an_entry_whose_watch_is_silent_gets_changes_of_peers(kind):
+    """Guard against CONFIG and DRAIN: a dead watch waits like a live one."""
+    system = platform_system.LinkedSystem().build(gateways=3)
+    system.world.run(5)
+    store = system.store
+    store.watches = [
+        watch
+        for watch in store.watches
+        if not watch[0].connection.connection.peer_address.startswith(
+            'gateway-0:'
+        )
+    ]
+    route = platform_system.make_route('new', '/new/', 'safe', 'app')
+    system.configure(routes=[*system.configuration['routes'], route])
+    system.set_state('app-0', 'draining')
+    system.world.run(2.0)
+
+    workers = system.gateways['gateway-0'].services.fleet.workers
+    match kind:
+        case 'config':
+            assert system.ask('/new/x').status == 200
+        case 'servers':
+            assert workers['app-0'].is_draining
