Platform: figures out of range count as absent

Change: tokens and timeouts have ranges, what is out of range counts as absent; a stored object whose parts have no fields counts as empty; one list of decode errors at the checkpoint and the workers' reports too.

--- a/citronjunction/duties/checkpoint.py
+++ b/citronjunction/duties/checkpoint.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 
+from citronjunction.documents import errors
 from citronjunction.duties import clock, usage
 from citronjunction.gateway import (
     quota_logging,
@@ -159,8 +160,8 @@
         """Return the saved use, or log that it can't be used."""
         try:
             return self._decode_use(spec)
-        except (TypeError, ValueError, AttributeError) as error:
-            self.log.write('checkpoint malformed', NAME, error=str(error))
+        except errors.DECODE_ERRORS as error:
+            self.log.write('checkpoint malformed', NAME, error=repr(error))
             return quota_past.SavedUse({}, 0, is_complete=False)
 
     def _decode_use(
--- a/citronjunction/platform/caller_requests.py
+++ b/citronjunction/platform/caller_requests.py
@@ -8,6 +8,7 @@
 
 MS_PER_S = 1000
 MAX_PROMPT_PARTS = 4096  # the size limit of a request head bounds the list too
+MAX_TOKENS = 1_000_000_000  # of a request, or of a part of its prompt
 
 
 def decode(request: http_server.Request) -> models.CallerRequest:
@@ -61,9 +62,9 @@
         names.TOKENS.lower(),
         '',
     ).partition(',')
-    try:
-        prompt_tokens, output_tokens = int(prompt_text), int(output_text)
-    except ValueError:
+    prompt_tokens = _read_tokens(prompt_text)
+    output_tokens = _read_tokens(output_text)
+    if prompt_tokens is None or output_tokens is None:
         return None
     return models.Prompt(
         headers.get(names.MODEL.lower(), ''),
@@ -76,5 +77,16 @@
 def _read_parts(text: str) -> abc.Iterator[models.PromptPart]:
     for part in text.split(',')[:MAX_PROMPT_PARTS]:
         name, _, count = part.strip().partition(':')
-        if count.isdecimal():
-            yield models.PromptPart(name, int(count))
+        tokens = _read_tokens(count)
+        if tokens is not None:
+            yield models.PromptPart(name, tokens)
+
+
+def _read_tokens(text: str) -> int | None:
+    """Return a number of tokens, or None for anything else."""
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdecimal()):
+        return None
+    if len(digits) > len(str(MAX_TOKENS)) or int(digits) > MAX_TOKENS:
+        return None
+    return int(digits)
--- a/citronjunction/platform/kv_cache_moves.py
+++ b/citronjunction/platform/kv_cache_moves.py
@@ -5,6 +5,7 @@
 
 from absl import logging
 
+from citronjunction.documents import errors
 from citronjunction.gateway import relocation
 from citronjunction.platform import names
 from citronjunction.transport import http_client
@@ -75,18 +76,18 @@
 def _read_time_left(reply: http_client.Reply) -> float | None:
     try:
         left_ms = json.loads(reply.body).get('leaves_ms')
-    except (ValueError, AttributeError) as error:
-        logging.warning('worker report is malformed: %s', error)
+        return None if left_ms is None else left_ms / MS_PER_S
+    except errors.DECODE_ERRORS as error:
+        logging.warning('worker report is malformed: %.200r', error)
         return None
-    return left_ms / MS_PER_S if isinstance(left_ms, int | float) else None
 
 
 def _decode_result(reply: http_client.Reply) -> relocation.MoveResult:
     reason = f'the worker answered {reply.status}'
     try:
         handle = str(json.loads(reply.body or b'{}').get('handle') or '')
-    except (ValueError, AttributeError) as error:
-        return relocation.NotMoved(f'{reason} with a malformed body: {error}')
+    except errors.DECODE_ERRORS as error:
+        return relocation.NotMoved(f'{reason} with a malformed body: {error!r}')
     if reply.status == OK and handle:
         return relocation.Moved(handle)
     if reply.status == UNAVAILABLE and handle:
--- a/citronjunction/platform/stored_objects.py
+++ b/citronjunction/platform/stored_objects.py
@@ -44,11 +44,17 @@
     return records.Record(
         name,
         int(meta['rev']),
-        document.get('spec') or {},
-        document.get('status') or {},
+        _get_fields(document, 'spec'),
+        _get_fields(document, 'status'),
     )
 
 
+def _get_fields(document: dict[str, object], name: str) -> dict[str, object]:
+    """Return an object's part; one that has no fields counts as empty."""
+    fields = document.get(name)
+    return fields if isinstance(fields, dict) else {}
+
+
 def decode_conflict(body: bytes) -> records.Record | None:
     """Return the object that a write conflicts with, if it is named."""
     document = parts.decode(body or b'{}')
--- a/citronjunction/transport/keep_alive.py
+++ b/citronjunction/transport/keep_alive.py
@@ -5,7 +5,7 @@
 
 MAX_IDLE_S = 8.0  # if the server states no timeout
 REUSE_SHARE = 0.7  # of the idle timeout that the server states
-TIMEOUT = re.compile(r'timeout=(\d+)')
+TIMEOUT = re.compile(r'timeout=(\d{1,9})')
 
 
 def get_idle_s(headers: abc.Mapping[str, str]) -> float:
