Gateway: series of timers and notifications go on after an error

Change: a series is scheduled before its callback runs, also one whose interval changes; probes come first in line as well; each subscriber is notified by itself.

--- a/citronjunction/gateway/reach_checking.py
+++ b/citronjunction/gateway/reach_checking.py
@@ -204,6 +204,8 @@
 
     def _probe(self) -> None:
         self.is_probing = False
+        if self.reach.lost:
+            self._probe_later()
         for upstream in sorted(self.reach.lost):
             workers = self._select(upstream)
             if not workers:
@@ -214,8 +216,6 @@
                 self._connect(worker, on_probed)
         if self.services.timers.now() - self.published_at > REPORT_INTERVAL_S:
             self._publish()
-        if self.reach.lost:
-            self._probe_later()
 
     def _on_probed(
         self, upstream: str, check: connection_checks.Result
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -51,7 +51,10 @@
 
     def start(self) -> None:
         """Start publishing at intervals."""
-        self._publish_again()
+        self._publish_if_due()
+        self.services.timers.call_repeatedly(
+            self.get_interval_s, self._publish_if_due
+        )
 
     def get_interval_s(self) -> float:
         """Return the time between reports for the number of busy entries."""
@@ -97,16 +100,14 @@
             return interval_s
         return max(interval_s, STANDBY_INTERVAL_S * self.peers.roles.live_count)
 
-    def _publish_again(self) -> None:
+    def _publish_if_due(self) -> None:
         waited_s = self.services.timers.now() - self.published_at
         is_busy = self.was_running or self.services.flows
         if is_busy or waited_s >= self.reported_period_s:
             self.publish()
-        interval_s = self.get_interval_s()
         self.services.quotas.peers.expect_activity(
-            self.services.timers.now(), interval_s
+            self.services.timers.now(), self.get_interval_s()
         )
-        self.services.timers.call_later(interval_s, self._publish_again)
 
     def merge(self, fact: facts.LoadState) -> None:
         """Merge a peer's report."""
--- a/citronjunction/store/eras.py
+++ b/citronjunction/store/eras.py
@@ -6,6 +6,8 @@
 
 from collections import abc
 
+from absl import logging
+
 from citronjunction.transport import timer_queue
 
 UNKNOWN = 0  # no answer of the store has named an era
@@ -35,5 +37,13 @@
             self.current = era
             self.seen_at = self.timers.boot_time()
             for on_begin in self.listeners:
-                on_begin()
+                _notify(on_begin)
         return era == self.current
+
+
+def _notify(on_begin: abc.Callable[[], None]) -> None:
+    """Call a subscriber; its error must not cost the others the era."""
+    try:
+        on_begin()
+    except Exception as error:
+        logging.exception('era not applied: %r', error)
--- a/citronjunction/transport/timer_queue.py
+++ b/citronjunction/transport/timer_queue.py
@@ -65,12 +65,25 @@
         callback: abc.Callable[[], None],
     ) -> None:
         """Schedule a callback repeatedly, at an interval in seconds."""
-        self.call_later(interval_s, lambda: self._repeat(interval_s, callback))
+        self.call_repeatedly(lambda: interval_s, callback)
+
+    def call_repeatedly(
+        self,
+        get_interval_s: abc.Callable[[], float],
+        callback: abc.Callable[[], None],
+    ) -> None:
+        """Schedule a callback repeatedly, at intervals that may change."""
+        self.call_later(
+            get_interval_s(), lambda: self._repeat(get_interval_s, callback)
+        )
 
     def _repeat(
-        self, interval_s: float, callback: abc.Callable[[], None]
+        self,
+        get_interval_s: abc.Callable[[], float],
+        callback: abc.Callable[[], None],
     ) -> None:
-        self.call_every(interval_s, callback)
+        # Scheduled first: an error of the callback does not end the series.
+        self.call_repeatedly(get_interval_s, callback)
         callback()
 
     @handlers.handler('generate_events', channel='*', priority=5)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -120,11 +120,14 @@
         return self.world.schedule(self.now() + delay_s, self.host, call)
 
     def call_every(self, interval_s, call):
+        self.call_repeatedly(lambda: interval_s, call)
+
+    def call_repeatedly(self, get_interval_s, call):
         def repeat():
-            self.call_every(interval_s, call)
+            self.call_repeatedly(get_interval_s, call)
             call()
 
-        self.call_later(interval_s, repeat)
+        self.call_later(get_interval_s(), repeat)
 
 
 class Sockets:
@@ -215,9 +218,17 @@
         self.peer = peer
 
     def deliver(self, chunk):
-        if not self.peer.is_closed:
-            self.peer.active_at = self.host.world.now
-            self.peer.receiver.on_bytes(chunk)
+        if self.peer.is_closed:
+            return
+        world = self.host.world
+        self.peer.active_at = world.now
+        try:
+            self.host.receive(self.peer.receiver, chunk)
+        except Exception as error:
+            if world.on_error is None:
+                raise
+            world.on_error(error)
+            self.host.sockets.close(self.peer, f'internal error: {error!r}')
 
     def close_peer(self):
         self.host.sockets.close(self.peer, 'closed by peer')
@@ -240,6 +251,9 @@
     def watch_reload(self, on_reload):
         self.on_reload = on_reload
 
+    def receive(self, receiver, chunk):
+        receiver.on_bytes(chunk)
+
     def stop_loop(self):
         self.kill()
 
