--- a/citronjunction/documents/parts.py
+++ b/citronjunction/documents/parts.py
@@ -5,9 +5,9 @@
 """
 
 import dataclasses
+import itertools
 import json
 import re
-from collections import abc
 
 from citronjunction.documents import errors
 
@@ -18,6 +18,7 @@
 )
 OPENING = frozenset((b'[', b'{'))
 CLOSING = frozenset((b']', b'}'))
+CONTAINERS = (dict, list)
 SURROGATE_ESCAPE = re.compile(rb'\\u[dD][89a-fA-F]')
 
 
@@ -132,26 +133,16 @@
     """Return whether no containers are nested too deeply, without recursion."""
     level = [value]
     for _ in range(MAX_DEPTH):
-        level = [
-            child
-            for container in level
-            for child in _list_children(container)
-            if isinstance(child, (dict, list))
-        ]
+        children = itertools.chain(
+            *(held.values() for held in level if isinstance(held, dict)),
+            *(held for held in level if isinstance(held, list)),
+        )
+        level = [held for held in children if isinstance(held, CONTAINERS)]
         if not level:
             return True
     return False
 
 
-def _list_children(value: object) -> abc.Iterable[object]:
-    match value:
-        case dict():
-            return value.values()
-        case list():
-            return value
-    return ()
-
-
 def _check_surrogates(value: object) -> None:
     """Raise ``PartError`` for text that has no encoding."""
     try:
--- a/citronjunction/gateway/application.py
+++ b/citronjunction/gateway/application.py
@@ -15,10 +15,10 @@
     """Handle callers' requests."""
 
     def __init__(
-        self, services: context.Services, copies: sources.Sources
+        self, services: context.Services, copy_sources: sources.Sources
     ) -> None:
         self.services = services
-        self.copies = copies
+        self.copy_sources = copy_sources
 
     def handle(self, exchange: http_server.Exchange) -> None:
         """Start the flow of a request that the configuration allows."""
@@ -87,7 +87,7 @@
         status: int,
         reason: str,
     ) -> None:
-        silence = self.copies.measure_configuration()
+        silence = self.copy_sources.measure_configuration()
         self.services.log.write(
             'deny',
             request.name,
--- a/citronjunction/gateway/rejections.py
+++ b/citronjunction/gateway/rejections.py
@@ -3,6 +3,8 @@
 from citronjunction.gateway import constraints, context, counting
 from citronjunction.store import records
 
+MAX_TEXT = 200  # characters of another writer in a line
+
 
 class Rejections:
     """Log each rejected object once for a reason."""
@@ -24,7 +26,7 @@
         constraints.forget_oldest(self.reasons)
         self.services.log.write(
             'object rejected',
-            rejection.name,
+            rejection.name[:MAX_TEXT],
             object_kind=kind,
-            reason=rejection.reason,
+            reason=rejection.reason[:MAX_TEXT],
         )
--- a/citronjunction/platform/stored_objects.py
+++ b/citronjunction/platform/stored_objects.py
@@ -4,35 +4,30 @@
 others of a page or of a watch hold.
 """
 
+from typing import TypeVar
+
 from citronjunction.documents import errors, parts
 from citronjunction.store import records
 
+Item = TypeVar('Item')
+
 
 def decode_page(body: bytes) -> records.Page:
     """Return a page of a list; raise a decode error for a malformed one."""
     page, items = parts.load(body, 'entries')
     decoded = [_decode_item(item) for item in items]
-    named = [item.name for item in decoded if item.name]
-    has_more = bool(page.get('hasMore')) and bool(decoded)
-    if has_more and not named:
-        raise parts.PartError('no object of the page can be decoded')
-    return records.Page(
-        tuple(item for item in decoded if isinstance(item, records.Record)),
-        int(page['asOf']),
-        named[-1] if has_more else '',
-        _select_rejections(decoded),
-    )
+    after = ''
+    if page.get('hasMore') and decoded:
+        after = _find_last_name(decoded)
+    listed, rejections = _divide(decoded)
+    return records.Page(listed, int(page['asOf']), after, rejections)
 
 
 def decode_changes(body: bytes) -> records.Changes:
     """Return the changes of a watch; raise a decode error for malformed ones."""
     document, events = parts.load(body, 'events')
-    decoded = [_decode_event(event) for event in events]
-    return records.Changes(
-        tuple(item for item in decoded if isinstance(item, records.Change)),
-        int(document['asOf']),
-        _select_rejections(decoded),
-    )
+    changes, rejections = _divide([_decode_event(event) for event in events])
+    return records.Changes(changes, int(document['asOf']), rejections)
 
 
 def decode_record(document: object) -> records.Record:
@@ -41,20 +36,17 @@
     name = meta['name']
     if not isinstance(name, str):
         raise parts.PartError('the name is not a string')
+    spec = document.get('spec')
+    status = document.get('status')
+    # A part that has no fields counts as empty.
     return records.Record(
         name,
         int(meta['rev']),
-        _get_fields(document, 'spec'),
-        _get_fields(document, 'status'),
+        spec if isinstance(spec, dict) else {},
+        status if isinstance(status, dict) else {},
     )
 
 
-def _get_fields(document: dict[str, object], name: str) -> dict[str, object]:
-    """Return an object's part; one that has no fields counts as empty."""
-    fields = document.get(name)
-    return fields if isinstance(fields, dict) else {}
-
-
 def decode_conflict(body: bytes) -> records.Record | None:
     """Return the object that a write conflicts with, if it is named."""
     document = parts.decode(body or b'{}')
@@ -119,9 +111,23 @@
     return ''
 
 
-def _select_rejections(
-    decoded: list[object],
-) -> tuple[records.Rejection, ...]:
-    return tuple(
+def _find_last_name(decoded: list[records.Record | records.Rejection]) -> str:
+    """Return the last name of a page, after which the next one starts."""
+    for item in reversed(decoded):
+        if item.name:
+            return item.name
+    raise parts.PartError('no object of the page can be decoded')
+
+
+def _divide(
+    decoded: list[Item | records.Rejection],
+) -> tuple[tuple[Item, ...], tuple[records.Rejection, ...]]:
+    """Return the items that were decoded, and the rejections."""
+    rejections = tuple(
         item for item in decoded if isinstance(item, records.Rejection)
     )
+    if rejections:
+        decoded = [
+            item for item in decoded if not isinstance(item, records.Rejection)
+        ]
+    return tuple(decoded), rejections
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -145,7 +145,7 @@
 
     @property
     def lacks_store(self) -> bool:
-        """Return whether the mirror is neither followed nor kept by the store."""
+        """Return whether neither the store nor peers keep the mirror current."""
         is_current = self.is_synced and self.is_reachable
         return not (self.is_following or is_current)
 
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -141,7 +141,8 @@
         self.opened_at = self.client.timers.now()
         self._start_silence_timer()
         request = encode_head(self.call) + self.call.body
-        self.call = dataclasses.replace(self.call, body=b'')
+        if self.call.body:
+            self.call = dataclasses.replace(self.call, body=b'')
         self.client.sockets.send(self.connection, request)
 
     def on_bytes(self, chunk: bytes) -> None:
