Virtual soak: stored objects in odd forms, silent watches, new routes, stand-bys

Two new rules: a route that was added is served 3 s later, a worker that drains in the store gets nothing 3 s later, by entries in touch while the store is.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -106,6 +106,10 @@
     commit: Annotated[
         str, typer.Option('--from', help='commit of a build to upgrade from')
     ] = '',
+    serving: Annotated[
+        int,
+        typer.Option(help='gateways that serve at least; others stand by'),
+    ] = 8,
 ) -> None:
     """Run consecutive seeds in virtual time; a seed always plays the same."""
     fix_hash_seed()
@@ -122,6 +126,7 @@
             UPGRADE_DRAW if commit else draw,
             only=chosen,
             old=commit,
+            serving=serving,
         )
         for number in range(seed, seed + runs)
     ]
--- a/soak/virtual/callers.py
+++ b/soak/virtual/callers.py
@@ -69,7 +69,7 @@
 class Traffic:
     """Send requests at a rate; ``factor`` multiplies it.
 
-    With ``demand``, they are of several organisations and have a cost.
+    A ``stray_share`` of them goes to any entry, listed or not. With ``demand``, they are of several organisations and have a cost.
     """
 
     def __init__(
@@ -88,10 +88,16 @@
         self.is_ending = False
         self.due: float = 0
         self.sent_at = deployed.world.now
+        self.paths = list(PATHS)
+        self.stray_share: float = 0
         self.addresses: list[str] = []
         self.looked_up_at = float('-inf')
         self.count = 0
 
+    def add_path(self, prefix: str) -> None:
+        """Send requests of a safe route as well."""
+        self.paths.append((prefix, False, True))
+
     def send_due(self) -> None:
         """Send the requests that are due by now."""
         passed_s = self.world.now - self.sent_at
@@ -121,7 +127,7 @@
             self._send(again, retries)
 
     def _send_new(self, load: tenancy.Load | None) -> None:
-        prefix, is_stream, may_repeat = self.random.choice(PATHS)
+        prefix, is_stream, may_repeat = self.random.choice(self.paths)
         request = self._build(prefix, is_stream, may_repeat, DEADLINE_S)
         if load is not None:
             request.organisation = load.organisation
@@ -173,8 +179,15 @@
             self.addresses = (
                 asked and asked.list_addresses()
             ) or self.addresses
+        if self.stray_share and self.random.random() < self.stray_share:
+            return self._choose_any()
         return self.random.choice(self.addresses)
 
+    def _choose_any(self) -> str:
+        """Return the address of an entry, which may stand by."""
+        gateway = self.random.choice(list(self.deployed.gateways.values()))
+        return gateway.settings.listeners.front
+
     def _is_running(self, name: str) -> bool:
         host = self.deployed.gateway_hosts[name]
         return host.is_alive and host.paused_until <= self.world.now
--- a/soak/virtual/drawing.py
+++ b/soak/virtual/drawing.py
@@ -42,6 +42,11 @@
     store_slow = 'store slow'
     store_loses = 'store loses answers'
     worker_loses = 'worker loses answers'
+    worker_drains = 'worker drains in the store'
+    refusals_repeated = 'worker repeats refusals'
+    foreign_entry = 'entry of another writer'
+    watches_silent = 'watches of entries silent'
+    route_added = 'route added'
 
 
 FIRST_KINDS = (
@@ -62,8 +67,16 @@
     Kind.configuration,
 )
 # A version of the draw gives each seed its faults; a later one adds kinds.
-KINDS = {1: FIRST_KINDS, 2: tuple(Kind)}
-CURRENT = 2
+THIRD_KINDS = (
+    Kind.worker_drains,
+    Kind.refusals_repeated,
+    Kind.foreign_entry,
+    Kind.watches_silent,
+    Kind.route_added,
+)
+SECOND_KINDS = tuple(kind for kind in Kind if kind not in THIRD_KINDS)
+KINDS = {1: FIRST_KINDS, 2: SECOND_KINDS, 3: tuple(Kind)}
+CURRENT = 3
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/soak/virtual/history.py
+++ b/soak/virtual/history.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 OK = 200  # HTTP status
+STORE = 'store'  # as the name of the store in disturbances
 GONE = 'gone'  # as the entry at an address that no entry has any more
 STABLE_S = 3.0  # without disturbance, until bounds apply to an entry
 
@@ -106,7 +107,8 @@
     of requests by worker, ``falls`` when brittle workers fell over. ``lost_at``
     are the times at which entries ended for good. ``quota_slack`` is a share of
     the limit that may be used beyond it. No process that was informed before
-    ``all_ended_at`` still runs.
+    ``all_ended_at`` still runs. ``drains`` are the workers that said in the store
+    that they drain, ``routes`` the prefixes that were added, each with the time.
     """
 
     requests: list[Request] = dataclasses.field(default_factory=list)
@@ -123,6 +125,8 @@
     quota_slack: float = 0
     lost_at: dict[str, float] = dataclasses.field(default_factory=dict)
     all_ended_at: list[float] = dataclasses.field(default_factory=list)
+    drains: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    routes: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def is_in_touch(self, entry: str, at: float, until: float = 0) -> bool:
         """Return whether an entry was undisturbed up to a time or a span."""
--- a/soak/virtual/injecting.py
+++ b/soak/virtual/injecting.py
@@ -4,7 +4,14 @@
 from collections import abc
 
 from citronjunction.transport import http_server
-from soak.virtual import callers, drawing, history, outages, tenancy
+from soak.virtual import (
+    callers,
+    drawing,
+    history,
+    outages,
+    tenancy,
+    writing,
+)
 from tests.support import platform_system, platform_worker
 
 SERVICE_S = 0.1  # of a plain request
@@ -38,6 +45,7 @@
         self.worker_count = 0
         self.outages = outages.Outages(deployed, record)
         self.store_trouble = outages.StoreTrouble(deployed, record)
+        self.changes = writing.StoreChanges(self)
         for worker in deployed.workers.values():
             self._observe(worker)
 
@@ -65,6 +73,7 @@
             kinds.store_down: self.store_trouble.begin,
             kinds.store_slow: self.store_trouble.begin,
             kinds.store_loses: self.store_trouble.begin,
+            **dict.fromkeys(drawing.THIRD_KINDS, self.changes.begin),
         }.get(fault.kind, self._harm_worker)
         begin(fault)
 
@@ -78,16 +87,16 @@
             )
 
     def _harm_worker(self, fault: drawing.Fault) -> None:
-        name = self._choose_worker(fault)
+        name = self.choose_worker(fault)
         behaviour = self.deployed.workers[name].behaviour
         match fault.kind:
             case drawing.Kind.worker_killed:
-                self._replace_worker(name)
+                self.replace_worker(name)
             case drawing.Kind.worker_leaves:
                 behaviour.is_leaving = True
                 self.deployed.caller_host.timers.call_later(
                     LEAVES_AFTER_S,
-                    functools.partial(self._replace_worker, name),
+                    functools.partial(self.replace_worker, name),
                 )
             case drawing.Kind.worker_silent:
                 self.deployed.worker_hosts[name].pause(SILENCE_S)
@@ -99,7 +108,7 @@
                 behaviour.aborts_left = REFUSALS
 
     def _name_limit(self, fault: drawing.Fault) -> None:
-        name = self._choose_worker(fault)
+        name = self.choose_worker(fault)
         behaviour = self.deployed.workers[name].behaviour
         if behaviour.limit:
             return
@@ -124,7 +133,7 @@
         self._later(fault, functools.partial(_make_sound, chosen))
 
     def _cut_from_workers(self, fault: drawing.Fault) -> None:
-        entries = self._choose_entries(fault)
+        entries = self.choose_entries(fault)
         workers = tuple(self.deployed.workers)
         cut = self.world.partition
         if fault.kind is drawing.Kind.cut_refused:
@@ -134,7 +143,7 @@
         self._later(fault, functools.partial(self._heal, entries, workers))
 
     def _cut_entry(self, fault: drawing.Fault) -> None:
-        entries = self._choose_entries(fault)
+        entries = self.choose_entries(fault)
         others = [
             name for name in self.deployed.gateways if name not in entries
         ]
@@ -145,19 +154,19 @@
         self._later(fault, functools.partial(self._heal, entries, others))
 
     def _stop_entry(self, fault: drawing.Fault) -> None:
-        name = self._choose_entries(fault)[0]
+        name = self.choose_entries(fault)[0]
         host = self.deployed.gateway_hosts[name]
         if not host.is_alive:
             return
         if fault.kind is drawing.Kind.entry_paused:
             seconds = min(fault.duration_s, MAX_PAUSE_S)
             host.pause(seconds)
-            self._disturb(name, seconds)
+            self.disturb(name, seconds)
             return
         self.outages.kill(name, RESTART_S)
 
     def _replace_entries(self, fault: drawing.Fault) -> None:
-        for name in self._choose_entries(fault):
+        for name in self.choose_entries(fault):
             self.outages.replace(name, fault.duration_s * REPLACED_SHARE)
 
     def _replace_holder(self, fault: drawing.Fault) -> None:
@@ -171,11 +180,11 @@
 
     def _freeze_entries(self, fault: drawing.Fault) -> None:
         seconds = fault.duration_s * FROZEN_SHARE
-        for name in self._choose_entries(fault):
+        for name in self.choose_entries(fault):
             self.outages.freeze(name, seconds)
 
     def _terminate_entry(self, fault: drawing.Fault) -> None:
-        self.outages.terminate(self._choose_entries(fault)[0], RESTART_S)
+        self.outages.terminate(self.choose_entries(fault)[0], RESTART_S)
 
     def _begin_hot(self, fault: drawing.Fault) -> None:
         demand = self.traffic.demand
@@ -191,7 +200,8 @@
         levels.change(name, tenancy.choose_level(fault.target))
         self._later(fault, functools.partial(levels.change, name, 1.0))
 
-    def _replace_worker(self, name: str) -> None:
+    def replace_worker(self, name: str) -> None:
+        """End a worker and start another one."""
         host = self.deployed.worker_hosts[name]
         if not host.is_alive:
             return
@@ -205,7 +215,8 @@
         prepare(worker)
         self._observe(worker)
 
-    def _choose_worker(self, fault: drawing.Fault) -> str:
+    def choose_worker(self, fault: drawing.Fault) -> str:
+        """Return the running worker that a fault selects."""
         names = self._list_workers()
         return names[fault.target % len(names)]
 
@@ -216,7 +227,8 @@
             if host.is_alive
         ]
 
-    def _choose_entries(self, fault: drawing.Fault) -> list[str]:
+    def choose_entries(self, fault: drawing.Fault) -> list[str]:
+        """Return the entries that a fault selects."""
         names = sorted(self.deployed.gateways)
         count = 1 + int(fault.amount * len(names) / 2)
         start = fault.target % len(names)
@@ -239,7 +251,8 @@
     def _end_burst(self) -> None:
         self.traffic.factor = 1.0
 
-    def _disturb(self, name: str, seconds: float) -> None:
+    def disturb(self, name: str, seconds: float) -> None:
+        """Record that an entry is disturbed for a time."""
         now = self.world.now
         self.record.disturbances.append(
             history.Span(frozenset((name,)), now, now + seconds)
@@ -272,7 +285,7 @@
         name = headers.get('attempt-id')
         run_count = len(worker.runs)
         if name is not None:
-            entry = _get_sender(exchange)
+            entry = self.get_sender(exchange)
             self.record.arrivals.append(
                 history.Arrival(name, worker.name, entry, self.world.now)
             )
@@ -287,6 +300,11 @@
                 )
             )
 
+    def get_sender(self, exchange: http_server.Exchange) -> str:
+        """Return the name of the host that sent a request."""
+        address = exchange.connection.connection.peer_address
+        return address.rpartition(':')[0]
+
     def _notice(
         self,
         worker: platform_worker.PlatformWorker,
@@ -300,7 +318,7 @@
             self.record.notices.append(
                 history.Notice(
                     worker.name,
-                    _get_sender(exchange),
+                    self.get_sender(exchange),
                     self.world.now,
                     limit,
                     behaviour.is_leaving,
@@ -321,8 +339,3 @@
     for behaviour in behaviours:
         behaviour.brittle = ''
         behaviour.slots = 0
-
-
-def _get_sender(exchange: http_server.Exchange) -> str:
-    address = exchange.connection.connection.peer_address
-    return address.rpartition(':')[0]
--- a/soak/virtual/outages.py
+++ b/soak/virtual/outages.py
@@ -6,7 +6,6 @@
 from soak.virtual import drawing, history
 from tests.support import platform_system, virtual
 
-STORE = 'store'  # as the name of a disturbed part
 CHECK_S = 0.5  # between looks whether a stopped process has ended
 MAX_DELAY_S = 1.5  # of a slow store's answer
 MAX_LOST_ANSWERS = 8
@@ -135,7 +134,7 @@
                 self.store.lost_answers += 1 + fault.target % MAX_LOST_ANSWERS
         now = self.world.now
         self.record.disturbances.append(
-            history.Span(frozenset((STORE,)), now, now + seconds)
+            history.Span(frozenset((history.STORE,)), now, now + seconds)
         )
 
     def _restore(self) -> None:
--- a/soak/virtual/playing.py
+++ b/soak/virtual/playing.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 
+from citronjunction.conf import models as conf
 from citronjunction.transport import sockets
 from soak.virtual import (
     callers,
@@ -20,6 +21,9 @@
 WORKERS = 4  # of each upstream
 SETTLE_S = 8.0  # after the last fault
 FAULTY_SLACK = 0.2  # of the limit of a window
+STRAY_SHARE = 0.1  # of the requests go to any entry
+MIN_PAGE = 2  # objects of a page of a list
+PAGE_SIZES = 4
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -30,7 +34,7 @@
     ``only``, faults with other positions in the draw are left out.
 
     If ``old`` names a commit, the entries start with its build and are replaced
-    one after the other meanwhile.
+    one after the other meanwhile. Beyond ``serving`` entries stand by.
     """
 
     seed: int
@@ -40,6 +44,12 @@
     quota_slack: float = FAULTY_SLACK
     only: tuple[int, ...] = ()
     old: str = ''
+    serving: int = 8
+
+    @property
+    def has_store_changes(self) -> bool:
+        """Return whether stored objects are changed in odd ways."""
+        return drawing.Kind.foreign_entry in drawing.KINDS[self.draw]
 
     @property
     def has_quotas(self) -> bool:
@@ -71,15 +81,30 @@
         return '\n'.join(lines)
 
 
+class SearchedSystem(platform_system.LinkedSystem):
+    """Gateways of which as many serve as a plan says."""
+
+    def __init__(self, plan: Plan) -> None:
+        super().__init__(plan.seed)
+        self.serving = plan.serving
+
+    def configure_settings(self, settings: conf.Settings) -> None:
+        """Set the number of peer links and of serving entries."""
+        super().configure_settings(settings)
+        settings.membership.serving = self.serving
+
+
 def build(plan: Plan) -> platform_system.PlatformSystem:
     """Start the gateways and workers of a run."""
-    deployed = platform_system.LinkedSystem(plan.seed)
+    deployed = SearchedSystem(plan)
     if plan.old:
         names = [f'gateway-{number}' for number in range(plan.entries)]
         deployed = mixed_system.MixedSystem(plan.old, names, plan.seed)
     deployed.world.user_timeout_s = sockets.USER_TIMEOUT_MS / MS_PER_S
     if plan.has_quotas:
         deployed.configuration['tenants'] = tenancy.make_tenants({})
+    if plan.has_store_changes:
+        deployed.store.page_size = MIN_PAGE + plan.seed % PAGE_SIZES
     deployed.build(workers=WORKERS, gateways=plan.entries)
     for worker in deployed.workers.values():
         injecting.prepare(worker)
@@ -112,6 +137,8 @@
         if hot is not None:
             demand.begin_hot(*hot)
     traffic = callers.Traffic(deployed, record, demand)
+    if plan.has_store_changes:
+        traffic.stray_share = STRAY_SHARE
     injector = injecting.Injector(deployed, record, traffic)
     for fault in faults:
         deployed.caller_host.timers.call_later(
--- a/soak/virtual/rules.py
+++ b/soak/virtual/rules.py
@@ -16,6 +16,9 @@
 CUT_SLACK = 10  # first tries that may fail
 CUT_SLACK_SHARE = 0.02  # of all first tries
 DRAIN_S = 2.0
+STORED_DRAIN_S = 3.0
+CONFIG_S = 3.0
+NOT_FOUND = 404  # HTTP status
 RETRY_WINDOW_S = 10.0
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50
@@ -139,6 +142,30 @@
             yield f'{arrival.request} reached {arrival.worker}'
 
 
+def check_stored_drain(record: history.History) -> abc.Iterator[str]:
+    """Yield requests to workers that drained long before in the store."""
+    drained_at = dict(record.drains)
+    for arrival in record.arrivals:
+        at = drained_at.get(arrival.worker, float('inf'))
+        is_late = arrival.at > at + STORED_DRAIN_S
+        if is_late and _follows_store(record, arrival.entry, arrival.at):
+            yield f'{arrival.request} of {arrival.entry} at {arrival.at:.2f} s'
+
+
+def check_config(record: history.History) -> abc.Iterator[str]:
+    """Yield requests that were denied by an older configuration."""
+    for request in record.requests:
+        added_at = record.routes.get(request.path_prefix, float('inf'))
+        is_denied = request.status == NOT_FOUND
+        is_late = request.sent_at > added_at + CONFIG_S
+        if (
+            is_denied
+            and is_late
+            and _follows_store(record, request.entry, request.sent_at)
+        ):
+            yield f'{request.name} at {request.entry}'
+
+
 def check_retries(record: history.History) -> abc.Iterator[str]:
     """Yield windows with too many repeated arrivals of requests."""
     seen: set[str] = set()
@@ -171,6 +198,11 @@
             yield f'{request.name} at {request.entry}'
 
 
+def _follows_store(record: history.History, entry: str, at: float) -> bool:
+    """Return whether neither an entry nor the store was disturbed."""
+    return all(record.is_in_touch(name, at) for name in (entry, history.STORE))
+
+
 def _is_owed(asked: quota_rule.Asked, request: history.Request) -> bool:
     is_over_quota = request.status == OVER_QUOTA and asked.is_too_much(
         request.organisation, request.sent_at
@@ -231,6 +263,8 @@
     check_refused,
     check_mixed,
     check_drain,
+    check_stored_drain,
+    check_config,
     check_retries,
     check_final_answer,
     quota_rule.check_quota,
--- a/tests/gateway/test_errors_end_nothing.py
+++ b/tests/gateway/test_errors_end_nothing.py
@@ -54,7 +54,10 @@
 
         return run
 
-    def receive(self, receiver, chunk):
+    def receive(self, host, receiver, chunk):
+        if host.name != FAILING:
+            receiver.on_bytes(chunk)
+            return
         sink = getattr(receiver, 'sink', None)
         name = f'{type(receiver).__name__} {describe_sink(sink)}'
         self.watch(receiver.on_bytes, name)(chunk)
@@ -93,10 +96,10 @@
         host = usual(name)
         if name == FAILING:
             host.faults = faults
-            host.receive = faults.receive
         return host
 
     system.world.add_host = add_host
+    system.world.receive = faults.receive
     return system, faults
 
 
--- a/tests/gateway/test_foreign_entries.py
+++ b/tests/gateway/test_foreign_entries.py
@@ -2,21 +2,18 @@
 
 import pytest
 
-from tests.platform import test_stored_objects as broken
-from tests.support import platform_system
+from tests.support import broken, platform_system
 
 CONFIG_S = 3.0
 
 
 def add_entry(system, wire):
-    system.store.raw[broken.BROKEN] = wire
+    system.store.raw[broken.MARK] = wire
     spec = system.store.objects[('servers', 'app-0')]['spec']
-    system.store.put('servers', 'foreign', {**spec, 'slots': broken.BROKEN})
+    system.store.put('servers', 'foreign', {**spec, 'slots': broken.MARK})
 
 
-@pytest.mark.parametrize(
-    'wire', broken.BROKEN_VALUES.values(), ids=broken.BROKEN_VALUES
-)
+@pytest.mark.parametrize('wire', broken.VALUES.values(), ids=broken.VALUES)
 def test_gateways_start_beside_an_entry_that_can_not_be_read(wire):
     """Guard against RECOVER: no gateway got ready after a kill."""
     system = platform_system.PlatformSystem().build()
@@ -30,9 +27,7 @@
     assert system.ask('/unsafe/x', method='POST').status == 200
 
 
-@pytest.mark.parametrize(
-    'wire', broken.BROKEN_VALUES.values(), ids=broken.BROKEN_VALUES
-)
+@pytest.mark.parametrize('wire', broken.VALUES.values(), ids=broken.VALUES)
 def test_gateways_follow_workers_beside_an_entry_that_can_not_be_read(wire):
     """Guard against DRAIN and CONFIG: removed workers stayed in use."""
     system = platform_system.PlatformSystem().build()
--- a/tests/platform/test_stored_objects.py
+++ b/tests/platform/test_stored_objects.py
@@ -8,21 +8,8 @@
 
 from citronjunction.platform import stored_objects
 from citronjunction.store import records
+from tests.support import broken
 
-BROKEN = '@broken@'
-DEEP = 1500
-BROKEN_VALUES = {
-    'lists in lists': b'[' * DEEP + b']' * DEEP,
-    'objects in objects': b'{"a":' * DEEP + b'1' + b'}' * DEEP,
-    'lists just too deep': b'[' * 40 + b']' * 40,
-    'brackets in strings': b'["]}", ' + b'[' * DEEP + b']' * DEEP + b']',
-    'escapes': b'["\\\\", "\\"", ' + b'[' * DEEP + b']' * DEEP + b']',
-    'digits': b'9' * 5000,
-    'a lone surrogate': b'"\\ud800"',
-    'no UTF-8': b'"\xff\xfe"',
-    'no JSON': b'nul',
-    'a control character': b'"\x01"',
-}
 TEXT = strategies.text(
     strategies.characters(exclude_categories=['Cs']), max_size=8
 )
@@ -39,7 +26,7 @@
 
 def encode(document, wire):
     body = json.dumps(document).encode()
-    return body.replace(json.dumps(BROKEN).encode(), wire)
+    return body.replace(json.dumps(broken.MARK).encode(), wire)
 
 
 def encode_page(objects, wire, *, has_more=False):
@@ -47,11 +34,11 @@
     return encode(page, wire)
 
 
-@pytest.mark.parametrize('wire', BROKEN_VALUES.values(), ids=BROKEN_VALUES)
+@pytest.mark.parametrize('wire', broken.VALUES.values(), ids=broken.VALUES)
 @pytest.mark.parametrize('place', [0, 1, 2])
 def test_the_other_objects_of_a_page_hold(wire, place):
     objects = [build_object(f'w{n}', n + 1, {'n': n}) for n in (0, 2)]
-    objects.insert(place, build_object('odd', 5, {'slots': BROKEN}))
+    objects.insert(place, build_object('odd', 5, {'slots': broken.MARK}))
 
     page = stored_objects.decode_page(encode_page(objects, wire))
 
@@ -61,12 +48,12 @@
     assert page.as_of == 9
 
 
-@pytest.mark.parametrize('wire', BROKEN_VALUES.values(), ids=BROKEN_VALUES)
+@pytest.mark.parametrize('wire', broken.VALUES.values(), ids=broken.VALUES)
 def test_the_other_events_of_a_watch_hold(wire):
     events = [
         {'object': build_object('a', 1, {}), 'tombstone': False},
-        {'object': build_object('odd', 2, BROKEN), 'tombstone': False},
-        {'object': build_object('gone', 3, BROKEN), 'tombstone': True},
+        {'object': build_object('odd', 2, broken.MARK), 'tombstone': False},
+        {'object': build_object('gone', 3, broken.MARK), 'tombstone': True},
         {'object': build_object('b', 4, {}), 'tombstone': True},
     ]
 
@@ -105,8 +92,8 @@
 
 
 def test_the_next_page_starts_after_an_object_that_was_rejected():
-    objects = [build_object('a', 1, {}), build_object('odd', 2, BROKEN)]
-    wire = BROKEN_VALUES['digits']
+    objects = [build_object('a', 1, {}), build_object('odd', 2, broken.MARK)]
+    wire = broken.VALUES['digits']
 
     page = stored_objects.decode_page(encode_page(objects, wire, has_more=True))
 
@@ -116,7 +103,7 @@
 @hypothesis.given(
     NAMES,
     SPECS,
-    strategies.sampled_from(sorted(BROKEN_VALUES)),
+    strategies.sampled_from(sorted(broken.VALUES)),
     strategies.data(),
 )
 @FUZZED
@@ -125,9 +112,9 @@
         build_object(name, number, spec) for number, name in enumerate(names)
     ]
     place = data.draw(strategies.integers(0, len(objects)))
-    objects.insert(place, build_object('\x00odd', 7, {'x': [BROKEN]}))
+    objects.insert(place, build_object('\x00odd', 7, {'x': [broken.MARK]}))
 
-    page = stored_objects.decode_page(encode_page(objects, BROKEN_VALUES[kind]))
+    page = stored_objects.decode_page(encode_page(objects, broken.VALUES[kind]))
 
     assert page.records == tuple(
         records.Record(name, number, spec, {})
--- a/tests/soak/virtual/test_playing.py
+++ b/tests/soak/virtual/test_playing.py
@@ -37,7 +37,7 @@
         assert drawing.Kind.hot in kinds
 
 
-@pytest.mark.parametrize('draw', ['1', '2'])
+@pytest.mark.parametrize('draw', ['1', '2', '3'])
 def test_short_runs_violate_no_invariant(draw):
     command = ['-m', 'soak', 'search', '--runs', '8', '--jobs', '1']
     command += ['--draw', draw]
@@ -64,7 +64,8 @@
 def find_violation(rule, seeds):
     """Return whether a run of the seeds violates a rule."""
     return any(
-        list(rule(playing.play(playing.Plan(seed)).record)) for seed in seeds
+        list(rule(playing.play(playing.Plan(seed, draw=2)).record))
+        for seed in seeds
     )
 
 
--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -5,6 +5,10 @@
 
 SIGNATURE = 'sig.{}'
 DOWN_S = 3.0  # after a fall
+REFUSAL = (
+    b'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
 
 
 @dataclasses.dataclass
@@ -15,7 +19,9 @@
     connection; a refusal carries ``retry_after`` if set. ``limit`` is the number
     of requests a second that all answers name. ``cut_after_events`` aborts a
     stream in the middle of the event after that number. While ``is_silent``, requests run without an answer. The
-    process ends as it begins to answer a prompt with ``deadly_part``.
+    process ends as it begins to answer a prompt with ``deadly_part``. The next
+    ``repeats_left`` refusals are written once more when a request follows on
+    their connection.
 
     With ``slots`` set, requests beyond them are refused. A worker that names
     ``brittle`` falls over when it refuses more than that in a second, and loses
@@ -39,6 +45,7 @@
     brittle: str = ''
     slots: int = 0
     deadly_part: str = ''
+    repeats_left: int = 0
 
 
 class PlatformWorker:
@@ -58,6 +65,7 @@
         self.refused_at = []
         self.fell_at = []
         self.busy = set()
+        self.refused_on = set()
         self.runs = []
         self.cancelled = []
         self.streams = {}
@@ -101,8 +109,13 @@
             headers = {'Not-Executed': '1'}
             if behaviour.retry_after:
                 headers['Retry-After'] = behaviour.retry_after
+            self.refused_on.add(exchange.connection)
             self._respond(exchange, 503, headers, b'')
             return
+        if behaviour.repeats_left and exchange.connection in self.refused_on:
+            behaviour.repeats_left -= 1
+            self.refused_on.discard(exchange.connection)
+            exchange.connection.send(REFUSAL)
         self.runs.append(request)
         exchange.on_disconnect = lambda: self.cancelled.append(request)
         if behaviour.is_silent:
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -35,6 +35,10 @@
         self.hosts[name] = host
         return host
 
+    def receive(self, host, receiver, chunk):
+        """Pass bytes to a receiver of a host."""
+        receiver.on_bytes(chunk)
+
     def schedule(self, at, host, call):
         event = Event(at, next(self.sequence), host, call)
         heapq.heappush(self.events, event)
@@ -223,7 +227,7 @@
         world = self.host.world
         self.peer.active_at = world.now
         try:
-            self.host.receive(self.peer.receiver, chunk)
+            world.receive(self.host, self.peer.receiver, chunk)
         except Exception as error:
             if world.on_error is None:
                 raise
@@ -251,9 +255,6 @@
     def watch_reload(self, on_reload):
         self.on_reload = on_reload
 
-    def receive(self, receiver, chunk):
-        receiver.on_bytes(chunk)
-
     def stop_loop(self):
         self.kill()
 
