--- a/tests/commands/test_reload_signals.py
+++ b/tests/commands/test_reload_signals.py
@@ -19,8 +19,8 @@
 """
 
 
+# Guards against LOST: SIGHUP in the first 0.2 s ended the process.
 def test_a_signal_during_the_imports_does_not_end_the_process():
-    """Guard against LOST: SIGHUP in the first 0.2 s ended the process."""
     ended = subprocess.run(
         [sys.executable, '-c', START], capture_output=True, check=True
     )
--- a/tests/gateway/test_errors_end_nothing.py
+++ b/tests/gateway/test_errors_end_nothing.py
@@ -140,10 +140,10 @@
     return sorted(faults.turns)
 
 
+# Guards against CONFIG: the mirrors' timers ended with an error.
 @pytest.mark.parametrize('shard', range(SHARDS))
 @pytest.mark.parametrize('error', [OSError, MemoryError])
 def test_an_error_of_any_callback_ends_no_duty(monkeypatch, shard, error):
-    """Guard against CONFIG: the mirrors' timers ended with an error."""
     names = find_callbacks(monkeypatch)
     assert len(names) > 20
     for name in names[shard::SHARDS]:
--- a/tests/gateway/test_foreign_entries.py
+++ b/tests/gateway/test_foreign_entries.py
@@ -13,9 +13,9 @@
     system.store.put('servers', 'foreign', {**spec, 'slots': broken.MARK})
 
 
+# Guards against RECOVER: no gateway got ready after a kill.
 @pytest.mark.parametrize('wire', broken.VALUES.values(), ids=broken.VALUES)
 def test_gateways_start_beside_an_entry_that_can_not_be_read(wire):
-    """Guard against RECOVER: no gateway got ready after a kill."""
     system = platform_system.PlatformSystem().build()
     add_entry(system, wire)
     system.gateway_hosts['gateway-0'].kill()
@@ -27,9 +27,9 @@
     assert system.ask('/unsafe/x', method='POST').status == 200
 
 
+# Guards against DRAIN and CONFIG: removed workers stayed in use.
 @pytest.mark.parametrize('wire', broken.VALUES.values(), ids=broken.VALUES)
 def test_gateways_follow_workers_beside_an_entry_that_can_not_be_read(wire):
-    """Guard against DRAIN and CONFIG: removed workers stayed in use."""
     system = platform_system.PlatformSystem().build()
     add_entry(system, wire)
     system.world.run(1)
--- a/tests/gateway/test_odd_figures.py
+++ b/tests/gateway/test_odd_figures.py
@@ -8,11 +8,11 @@
 LARGE = '9' * 400
 
 
+# Guards against a caller whose figures end requests or grow its quota.
 @pytest.mark.parametrize(
     'tokens', [f'{HUGE},1', f'1,{HUGE}', f'{LARGE},1', '-5,1', '1,-5', '1_0,1']
 )
 def test_tokens_out_of_range_are_no_prompt(tokens):
-    """Guard against a caller whose figures end requests or grow its quota."""
     system = platform_system.PlatformSystem().build()
     answer = system.ask('/stream/x', method='POST', Token_Usage=tokens)
 
@@ -35,10 +35,9 @@
     assert answer.status == 200
 
 
+# Guards against requests that hang: the answer was never passed on.
 @pytest.mark.parametrize('timeout', [HUGE, LARGE, '0', '-1', 'x'])
 def test_an_idle_timeout_out_of_range_ends_no_request(timeout):
-    """Guard against requests that hang: the answer was never passed on."""
-
     def respond(connection, request):
         name = scripted.get_header(request, 'Attempt-Id')
         connection.send(
--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -42,12 +42,12 @@
         connection.send_later(0.05, ANSWER % name)
 
 
+# Guards against REFUSED: "not run" was said of a running request.
 @pytest.mark.parametrize('names_request', [False, True])
 @pytest.mark.parametrize('status', [b'503', b'429'])
 def test_a_repeated_refusal_does_not_refuse_a_request_that_runs(
     status, names_request
 ):
-    """Guard against REFUSED: "not run" was said of a running request."""
     system = platform_system.PlatformSystem().build(workers=1)
     repeater = Repeater(status, names_request=names_request)
     scripted.replace_worker(system, 'app-0', repeater.handle)
@@ -60,8 +60,8 @@
     assert second.status == 200
 
 
+# Guards against REFUSED: reports and requests shared connections.
 def test_a_repeated_refusal_of_a_report_does_not_refuse_a_request():
-    """Guard against REFUSED: reports and requests shared connections."""
     system = platform_system.PlatformSystem().build(workers=1)
     repeater = Repeater(b'503', names_request=False)
     server = scripted.replace_worker(system, 'app-0', repeater.handle)
--- a/tests/gateway/test_silent_sources.py
+++ b/tests/gateway/test_silent_sources.py
@@ -58,6 +58,7 @@
         self.configure(routes=[*self.configuration['routes'], route])
 
 
+# Guards against CONFIG: a new route was answered 404 for over 3 s.
 @pytest.mark.parametrize(
     'how, seed',
     [
@@ -70,7 +71,6 @@
     ],
 )
 def test_standbys_with_a_silent_source_serve_a_new_route(how, seed):
-    """Guard against CONFIG: a new route was answered 404 for over 3 s."""
     fleet = Fleet(seed).build()
     followed, standbys = fleet.find_followed()
 
@@ -83,10 +83,10 @@
     assert [answer.status for answer in answers] == [200] * len(standbys)
 
 
+# Guards against DRAIN: a draining worker stayed in use for over 3 s.
 @pytest.mark.parametrize('seed', [1, 7])
 @pytest.mark.parametrize('how', ['frozen', 'cut from peers'])
 def test_standbys_with_a_silent_source_spare_a_draining_worker(seed, how):
-    """Guard against DRAIN: a draining worker stayed in use for over 3 s."""
     fleet = Fleet(seed).build()
     followed, standbys = fleet.find_followed()
 
@@ -99,9 +99,9 @@
         assert workers['app-0'].is_draining
 
 
+# Guards against CONFIG and DRAIN: a dead watch waits like a live one.
 @pytest.mark.parametrize('kind', ['config', 'servers'])
 def test_an_entry_whose_watch_is_silent_gets_changes_of_peers(kind):
-    """Guard against CONFIG and DRAIN: a dead watch waits like a live one."""
     system = platform_system.LinkedSystem().build(gateways=3)
     system.world.run(5)
     store = system.store
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -107,8 +107,8 @@
     assert list_entries(deployed) == []
 
 
+# Guards against LOST: answers were cut that callers were reading.
 def test_a_stop_waits_for_bytes_that_callers_still_read(deployed):
-    """Guard against LOST: answers were cut that callers were reading."""
     gateway = deployed.gateways['gateway-0']
     host = deployed.gateway_hosts['gateway-0']
     deployed.ask('/unsafe/x', method='POST', run_s=0.5)
--- a/tests/gateway/test_streams_resumed_at_failures.py
+++ b/tests/gateway/test_streams_resumed_at_failures.py
@@ -92,10 +92,10 @@
     return answer
 
 
+# Guards against MIXED: an error's text stood in a caller's stream.
 @pytest.mark.parametrize('answer_with', ANSWERS)
 @pytest.mark.parametrize('status', [b'400', b'404', b'500', b'503', b'302'])
 def test_a_failure_never_enters_a_stream_that_has_begun(status, answer_with):
-    """Guard against MIXED: an error's text stood in a caller's stream."""
     answer = play(
         2,
         lambda connection, request: answer_with(
@@ -107,9 +107,9 @@
     assert not answer.is_complete
 
 
+# Guards against MIXED: an answer of another program continued a stream.
 @pytest.mark.parametrize('answer_with', ANSWERS)
 def test_an_unsigned_answer_never_enters_a_stream_that_has_begun(answer_with):
-    """Guard against MIXED: an answer of another program continued a stream."""
     answer = play(
         2,
         lambda connection, request: answer_with(
@@ -121,8 +121,8 @@
     assert not answer.is_complete
 
 
+# Guards against ORDER: a stream without its last events looked whole.
 def test_an_empty_answer_does_not_end_a_stream_that_has_begun():
-    """Guard against ORDER: a stream without its last events looked whole."""
     answer = play(
         2,
         lambda connection, request: answer_empty(
@@ -134,9 +134,9 @@
     assert not answer.is_complete
 
 
+# Guards against ORDER: a stream ended at the first failure.
 @pytest.mark.parametrize('answer_with', ANSWERS)
 def test_a_stream_goes_on_at_the_worker_after_a_failure(answer_with):
-    """Guard against ORDER: a stream ended at the first failure."""
     numbers = []
 
     def respond(connection, request):
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -20,8 +20,8 @@
     system.configure(routes=[*system.configuration['routes'], route])
 
 
+# Guards against CONFIG: the pause of the 1025th retry overflowed.
 def test_a_mirror_goes_on_after_lists_failed_for_long(system):
-    """Guard against CONFIG: the pause of the 1025th retry overflowed."""
     system.store.fails_lists = True
     system.store.cut_watches()
     system.world.run(LONG_OUTAGE_S)
@@ -35,13 +35,13 @@
     assert system.ask('/new/x').status == 200
 
 
+# Guards against CONFIG: a mirror that met an error stopped for good.
 @pytest.mark.parametrize('call', [1, 2, 5])
 @pytest.mark.parametrize('step', STEPS)
 @pytest.mark.parametrize(
     'error', [OSError, MemoryError, RecursionError, ValueError]
 )
 def test_a_mirror_goes_on_after_an_error(monkeypatch, step, call, error):
-    """Guard against CONFIG: a mirror that met an error stopped for good."""
     system = platform_system.PlatformSystem().build()
     system.world.on_error = lambda raised: None
     usual = getattr(mirror.Mirror, step)
--- a/tests/store/test_mirror_machine.py
+++ b/tests/store/test_mirror_machine.py
@@ -35,7 +35,7 @@
 
 
 class Store:
-    """Answer calls when told to, from the objects of that moment."""
+    """Answer calls on demand, from the objects of that moment."""
 
     def __init__(self):
         self.page_size = 1
@@ -89,7 +89,7 @@
 
 
 class Listener:
-    """Keep what a listener is told of the objects."""
+    """Record the state of the objects that a listener receives."""
 
     def __init__(self):
         self.known = {}
@@ -271,8 +271,8 @@
             assert known.listener.known == self.store.objects
 
 
+# Guards against DRAIN: changes between two pages of a list were missed.
 def test_mirrors_end_equal_to_the_store():
-    """Guard against DRAIN: changes between two pages of a list were missed."""
     stateful.run_state_machine_as_test(
         MirrorMachine,
         settings=hypothesis.settings(
--- a/tests/transport/test_bodies.py
+++ b/tests/transport/test_bodies.py
@@ -27,9 +27,9 @@
     )
 
 
+# Guards against LOST: bodies in reference cycles filled the memory.
 @pytest.mark.parametrize('path', ['/unsafe/x', '/safe/x', '/stream/x'])
 def test_an_answered_request_frees_its_body_at_once(system, path):
-    """Guard against LOST: bodies in reference cycles filled the memory."""
     for worker in system.workers.values():
         worker.runs = worker.arrivals = ()
         worker.handle = lambda exchange: exchange.respond(
@@ -52,8 +52,8 @@
     assert after <= before
 
 
+# Guards against LOST: bodies of long requests filled the memory.
 def test_bodies_beyond_the_budget_are_refused_as_not_run(system):
-    """Guard against LOST: bodies of long requests filled the memory."""
     gateway = system.gateways['gateway-0']
     gateway.settings.http.max_bodies = 3 * BODY_BYTES
     for worker in system.workers.values():
@@ -112,6 +112,7 @@
     assert settings.http.max_bodies // 1_000_000 == expected
 
 
+# Guards against CONFIG: callers had taken all descriptors.
 @pytest.mark.parametrize(
     'descriptors, expected',
     [(1535, 1001), (4100, 2925), (8192, 4096), (1, 256)],
@@ -119,7 +120,6 @@
 def test_callers_leave_descriptors_to_the_store_and_workers(
     descriptors, expected
 ):
-    """Guard against CONFIG: callers had taken all descriptors."""
     settings = models.Settings()
     settings.process.descriptors = descriptors
     budgets.limit_http(settings)
--- a/tests/transport/test_sockets.py
+++ b/tests/transport/test_sockets.py
@@ -43,12 +43,11 @@
     assert receiver.closed.wait(live.TIMEOUT_S)
 
 
+# Guards against CONFIG: timers of mirrors ended with the error.
 @pytest.mark.parametrize(
     'code', [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
 )
 def test_no_descriptor_is_left_for_a_connection(loop, monkeypatch, code):
-    """Guard against CONFIG: timers of mirrors ended with the error."""
-
     def refuse(*arguments):
         raise OSError(code, 'none left')
 
@@ -89,8 +88,8 @@
     assert 'odd bytes' in receiver.reason
 
 
+# Guards against a listener that is asked for nothing but errors.
 def test_listeners_accept_again_once_descriptors_are_free(loop, monkeypatch):
-    """Guard against a listener that is asked for nothing but errors."""
     accepted = threading.Event()
 
     def accept(connection):
