Gateway: entries ask peers in turn beside a silent watch

Peers are asked in turn, without random numbers, which also reaches several of them within a few seconds.

--- a/citronjunction/gateway/copying.py
+++ b/citronjunction/gateway/copying.py
@@ -40,6 +40,7 @@
         self.watcher = watcher
         self.peers = peers
         self.asked_at: dict[str, float] = {}
+        self.turns = 0
         # By kind of object and name of the peer.
         self.followers: dict[tuple[str, str], Follower] = {}
         self.scheduled: set[str] = set()
@@ -60,9 +61,13 @@
         for kind, kind_mirror in self.watcher.mirrors.items():
             pause_s = 0 if kind_mirror.lacks_store else FOLLOW_INTERVAL_S
             is_due = now - self.asked_at.get(kind, 0) >= pause_s
-            if kind_mirror.needs_copy and is_due:
-                self.asked_at[kind] = now
+            if not (kind_mirror.needs_copy and is_due):
+                continue
+            self.asked_at[kind] = now
+            if kind_mirror.is_following or kind_mirror.lacks_store:
                 self.ask_for(kind)
+            else:
+                self._ask_in_turn(kind, kind_mirror)
 
     def ask_for(self, kind: str) -> None:
         """Request the copy of a kind from a random peer if it is newer."""
@@ -92,6 +97,16 @@
             link = self.services.random.choice(ready)
             link.send(messages.CopyWanted(kind, era, as_of))
 
+    def _ask_in_turn(self, kind: str, kind_mirror: mirror.Mirror) -> None:
+        """Request a newer copy from the next peer; a few turns reach several."""
+        ready = sorted(self.peers.open_links)
+        if ready:
+            self.turns += 1
+            link = self.peers.open_links[ready[self.turns % len(ready)]]
+            link.send(
+                messages.CopyWanted(kind, kind_mirror.era, kind_mirror.as_of)
+            )
+
     def _schedule_push(self, kind: str) -> None:
         if kind not in self.scheduled:
             self.scheduled.add(kind)
