Commands: citronctl check, a configuration before it is sent

Cause: operators had no way to see errors of a configuration, entries that can never match, limits that contradict each other, or what differs from the version in force, before the store has accepted it.

Change: package inspection with coded, hinted checks on the decoded types; platform/configuration.py returns all errors of a document with their places, from the models that a gateway decodes with. citronctl check reads a file or standard input, compares with a file or the store, and sends nothing.

--- a/citronjunction/commands/citronctl.py
+++ b/citronjunction/commands/citronctl.py
@@ -5,6 +5,7 @@
 from citronjunction.commands import common
 from citronjunction.commands.operators import (
     apply,
+    check,
     explain,
     history,
     settings,
@@ -26,6 +27,7 @@
     """
 
 
+app.command('check')(check.run)
 app.command('validate')(validate.run)
 app.command('apply')(apply.run)
 app.command('status')(status.run)
--- a/citronjunction/platform/configuration.py
+++ b/citronjunction/platform/configuration.py
@@ -1,12 +1,15 @@
 """Decoding of the platform's configuration and rollout objects."""
 
+import dataclasses
 from typing import Annotated
 
 import pydantic
 from absl import logging
 from pydantic import alias_generators
 
+from citronjunction.conf import exceptions
 from citronjunction.gateway import models
+from citronjunction.inspection import models as inspection
 
 MS_PER_S = 1000
 KIND = 'config'
@@ -143,6 +146,10 @@
             'configuration object is malformed: %s', _summarise(error)
         )
         return None
+    return _build(wire)
+
+
+def _build(wire: WireConfiguration) -> models.Configuration:
     return models.Configuration(
         wire.version,
         tuple(_build_route(route) for route in wire.routes),
@@ -162,6 +169,41 @@
     )
 
 
+def read_draft(
+    spec: object, path: str
+) -> inspection.Draft | list[exceptions.Problem]:
+    """Return a configuration to inspect, or all errors of its fields.
+
+    The errors name ``path`` and the place in the document. A quota that can't
+    be used is one of them, though a running gateway keeps the last one.
+    """
+    try:
+        wire = WireConfiguration.model_validate(spec)
+    except pydantic.ValidationError as error:
+        return [_describe(path, '', item) for item in _list_errors(error)]
+    problems = []
+    for order, tenant in enumerate(wire.tenants):
+        try:
+            WireQuota.model_validate(tenant.model_extra)
+        except pydantic.ValidationError as error:
+            problems.extend(
+                _describe(path, f'tenants.{order}.', item)
+                for item in _list_errors(error)
+            )
+    if problems:
+        return problems
+    return inspection.Draft(
+        _build(wire),
+        tuple(service.name for service in wire.services),
+        tuple(tenant.name for tenant in wire.tenants),
+        tuple(
+            (key, tenant.name)
+            for tenant in wire.tenants
+            for key in tenant.api_keys
+        ),
+    )
+
+
 def decode_rollout(
     spec: object,
     status: object,
@@ -270,6 +312,26 @@
 
 
 def _summarise(error: pydantic.ValidationError) -> str:
-    first = error.errors(include_input=False, include_url=False)[0]
-    location = '.'.join(str(part) for part in first['loc'])
-    return f'{location}: {first["msg"]} ({error.error_count()} errors)'
+    first = _list_errors(error)[0]
+    return f'{first.where}: {first.text} ({error.error_count()} errors)'
+
+
+def _list_errors(
+    error: pydantic.ValidationError,
+) -> list[exceptions.Problem]:
+    """Return the fields that are malformed, by their place in the document."""
+    return [
+        exceptions.Problem(
+            'E103',
+            '.'.join(str(part) for part in item['loc']),
+            item['msg'],
+            'write the field as the platform describes it',
+        )
+        for item in error.errors(include_input=False, include_url=False)
+    ]
+
+
+def _describe(
+    path: str, prefix: str, problem: exceptions.Problem
+) -> exceptions.Problem:
+    return dataclasses.replace(problem, where=f'{path} {prefix}{problem.where}')
