Evacuations: nothing more is sent to the workers of an evacuated data centre

Cause: nothing read the objects evacuations/ZONE, so requests went on to the workers of an evacuated data centre (EVAC).

Change: entries mirror the kind where the settings call for it, by a list and long watches or by peers' copies. Fleet.select_admitting leaves the workers of evacuated data centres out, beside draining and paused ones; a moved stream does not go on there; connection checks and trials leave them out. An entry that doesn't know the orders yet sends to nobody and is not ready, for the bound at most. A standby whose peers are of an older build lists the store itself. All data centres of an upstream: 503 at once with a bounded time to return. The autoscaler orders an evacuated data centre's share elsewhere and leaves what is there. relocation.Evacuation is called Relocations now.

--- a/citronjunction/conf/models.py
+++ b/citronjunction/conf/models.py
@@ -15,6 +15,7 @@
 Ratio = Annotated[float, pydantic.Field(ge=0, le=1000)]
 Amount = Annotated[float, pydantic.Field(ge=0, le=1e9)]
 Duration = Annotated[float, pydantic.Field(ge=0, le=86400)]
+Milliseconds = Annotated[float, pydantic.Field(gt=0, le=86_400_000)]
 
 
 def describe(text: str, default: object, unit: str = '') -> object:
@@ -251,6 +252,30 @@
     tick_s: Seconds = describe('interval of duty steps', 0.25, 's')
 
 
+@dataclasses.dataclass(slots=True)
+class Evacuations:
+    """Evacuations of data centres that operators order in the store."""
+
+    is_followed: bool = describe(
+        'whether the platform knows evacuations; the store is asked for them',
+        False,
+    )
+    bound_ms: Milliseconds = describe(
+        'time after an order until nothing more is sent to the data centre',
+        5000.0,
+        'ms',
+    )
+    zones: str = describe(
+        'data centres, comma-separated; empty: any name is one', ''
+    )
+
+    @property
+    def zone_names(self) -> frozenset[str]:
+        """Return the names of the data centres."""
+        names = (name.strip() for name in self.zones.split(','))
+        return frozenset(filter(None, names))
+
+
 @dataclasses.dataclass(slots=True)
 class Settings:
     """All settings of a process."""
@@ -268,6 +293,7 @@
     retries: Retries = dataclasses.field(default_factory=Retries)
     quotas: Quotas = dataclasses.field(default_factory=Quotas)
     duties: Duties = dataclasses.field(default_factory=Duties)
+    evacuations: Evacuations = dataclasses.field(default_factory=Evacuations)
 
 
 SECRET_KEYS = frozenset(('secret', 'operator_token'))
--- a/citronjunction/duties/autoscaling.py
+++ b/citronjunction/duties/autoscaling.py
@@ -50,6 +50,7 @@
         if (
             now - self.stepped_at < DECISION_INTERVAL_S
             or not self.services.configuration
+            or not self.services.fleet.evacuations.is_known
         ):
             return
         self.stepped_at = now
@@ -71,6 +72,7 @@
             self._measure_demand(name, now),
             self._count_workers(name, is_stable=False),
             has_trial=self.services.rollouts.holds_workers(name, now),
+            closed_zones=self.services.fleet.evacuations.by_zone,
         )
         for order in scaler.decide(state, now):
             self._send(scaler, order, get_fence, now)
--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -42,7 +42,8 @@
     reclaimable. ``tokens_per_s`` are the prompt tokens that callers send at
     present, None until measured. ``other_workers`` are those of a version that
     does not take usual requests. While ``has_trial``, they are on trial, and the
-    platform counts them in the orders.
+    platform counts them in the orders. No orders are sent for
+    ``closed_zones``, whose workers carry nothing.
     """
 
     scaling: gateway.Scaling
@@ -52,6 +53,7 @@
         dataclasses.field(default_factory=dict)
     )
     has_trial: bool = False
+    closed_zones: abc.Collection[str] = ()
 
     def count_on_trial(self, key: tuple[str, bool]) -> int:
         """Return the workers on trial, which orders must not remove."""
@@ -76,6 +78,7 @@
 
     __slots__ = (
         'assumed_need',
+        'closed_zones',
         'demand_since',
         'has_trial',
         'largest_total',
@@ -87,6 +90,7 @@
         'peak',
         'peak_at',
         'refused_until',
+        'reopened_at',
         'sent',
         'started_at',
         'trial_changed_at',
@@ -108,6 +112,8 @@
         self.has_trial = False
         self.on_trial: dict[tuple[str, bool], int] = {}
         self.trial_changed_at: float = 0
+        self.closed_zones: frozenset[str] = frozenset()
+        self.reopened_at = -math.inf
 
     def decide(
         self,
@@ -117,6 +123,7 @@
         """Return the orders that are due."""
         self._record_demand(state, now)
         self._record_trial(state, now)
+        self._record_closed(state, now)
         if not self._is_settled(state, now):
             return []
         return [
@@ -157,6 +164,12 @@
         self.has_trial = state.has_trial
         self.on_trial = on_trial
 
+    def _record_closed(self, state: UpstreamState, now: float) -> None:
+        closed_zones = frozenset(state.closed_zones)
+        if self.closed_zones - closed_zones:
+            self.reopened_at = now
+        self.closed_zones = closed_zones
+
     def _is_settled(self, state: UpstreamState, now: float) -> bool:
         """Return whether all workers that run at the start are known.
 
@@ -194,7 +207,10 @@
         now: float,
     ) -> dict[tuple[str, bool], int]:
         scaling = state.scaling
-        zones = sorted(scaling.prices, key=lambda zone: scaling.prices[zone])
+        places = [
+            zone for zone in scaling.prices if zone not in self.closed_zones
+        ]
+        zones = sorted(places, key=lambda zone: scaling.prices[zone])
         reclaimable = _spread(self._get_need(now), zones, scaling)
         retained = self._retain_on_demand(state, reclaimable)
         for zone, count in retained.items():
@@ -298,6 +314,9 @@
         sent = self.sent.get(key)
         if state.has_trial and not self._may_grow(current, count, now):
             return False
+        if count < current and now - self.reopened_at < SHRINK_DELAY_S:
+            # What has just reopened may not carry its share yet.
+            return False
         if sent is None:
             return current != count
         if sent.count != count:
--- a/citronjunction/gateway/assembling.py
+++ b/citronjunction/gateway/assembling.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from citronjunction.attempts import suspect_parts, suspects
+from citronjunction.evacuations import state as evacuations
 from citronjunction.gateway import (
     choosing,
     context,
@@ -29,6 +30,9 @@
     timers = owner.loop.timers
     source = owner.loop.random
     workers = fleet.Fleet()
+    workers.evacuations = evacuations.Evacuations(
+        is_known=not settings.evacuations.is_followed
+    )
     reach = reachability.Reachability()
     return context.Services(
         settings,
--- a/citronjunction/gateway/copying.py
+++ b/citronjunction/gateway/copying.py
@@ -5,8 +5,9 @@
 """
 
 import dataclasses
+from collections import abc
 
-from citronjunction.gateway import context, watching
+from citronjunction.gateway import constraints, context, watching
 from citronjunction.membership import messages
 from citronjunction.peering import node
 from citronjunction.store import eras, mirror, records
@@ -44,6 +45,8 @@
         # By kind of object and name of the peer.
         self.followers: dict[tuple[str, str], Follower] = {}
         self.scheduled: set[str] = set()
+        # Link of the last answer, by kind of object and name of the peer.
+        self.answers: dict[tuple[str, str], links.Link] = {}
         watcher.on_copy_advanced = self._schedule_push
 
     def start(self) -> None:
@@ -78,6 +81,15 @@
         """Request the copy of a kind from a random peer in any case."""
         self._ask(kind, eras.UNKNOWN, -1)
 
+    def has_answered(self, kind: str, link: links.Link) -> bool:
+        """Return whether a peer has sent what it has of a kind on a link."""
+        return self.answers.get((kind, link.peer_name)) is link
+
+    def ask_links(self, kind: str, asked: abc.Iterable[links.Link]) -> None:
+        """Request the whole copy of a kind on some links."""
+        for link in asked:
+            link.send(messages.CopyWanted(kind, eras.UNKNOWN, -1))
+
     def on_message(self, link: links.Link, message: messages.Message) -> None:
         """Answer a peer's request or apply its copy."""
         match message:
@@ -201,6 +213,9 @@
         kind_mirror = self.watcher.mirrors.get(kind)
         if kind_mirror is None or not self.watcher.eras.observe(message.era):
             return None
+        self.answers.pop((kind, link.peer_name), None)
+        self.answers[(kind, link.peer_name)] = link
+        constraints.forget_oldest(self.answers)
         # The sender has this revision and need not get it back.
         follower = self.followers.get((kind, link.peer_name))
         if follower is not None:
--- a/citronjunction/gateway/counting.py
+++ b/citronjunction/gateway/counting.py
@@ -42,7 +42,20 @@
     kind: str
 
 
-Event = RequestEnded | RequestRetried | KindSkipped | ObjectRejected
+@dataclasses.dataclass(slots=True, frozen=True)
+class EvacuationChanged:
+    """The beginning or the end of the evacuation of a data centre."""
+
+    change: str
+
+
+Event = (
+    RequestEnded
+    | RequestRetried
+    | KindSkipped
+    | ObjectRejected
+    | EvacuationChanged
+)
 
 
 class Counts:
@@ -92,3 +105,5 @@
                 self.metrics.skipped_kinds.add(1, {'kind': kind})
             case ObjectRejected(kind=kind):
                 self.metrics.rejected_objects.add(1, {'kind': kind})
+            case EvacuationChanged(change=change):
+                self.metrics.evacuations.add(1, {'change': change})
--- a/citronjunction/gateway/evidence.py
+++ b/citronjunction/gateway/evidence.py
@@ -50,6 +50,12 @@
     return AttemptFailure(Evidence.refused, reason, 'no_worker')
 
 
+def describe_evacuated(upstream: str) -> AttemptFailure:
+    """Return the failure of a request whose upstream is evacuated."""
+    reason = f'the data centres of all workers of {upstream} are evacuated'
+    return AttemptFailure(Evidence.refused, reason, 'evacuated')
+
+
 def describe_peer_refusal(
     entry: str, status: int, retry_after_s: float
 ) -> AttemptFailure:
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections import abc
 
+from citronjunction.evacuations import state as evacuations
 from citronjunction.gateway import (
     brittleness,
     constraints,
@@ -103,6 +104,7 @@
         'brittleness',
         'by_upstream',
         'departures',
+        'evacuations',
         'leaving',
         'limits',
         'workers',
@@ -114,6 +116,7 @@
         self.leaving: dict[str, int] = {}
         self.workers: dict[str, Worker] = {}
         self.by_upstream: dict[str, list[Worker]] = {}
+        self.evacuations = evacuations.Evacuations()
         self.limits = limits.RateLimits()
         self.brittleness = brittleness.Brittleness()
 
@@ -179,10 +182,34 @@
         return [
             worker
             for worker in self.select(upstream)
-            if not (worker.is_draining or self.get_wait_s(worker, now))
+            if not (self.is_out_of_use(worker) or self.get_wait_s(worker, now))
             and (not is_brittle or self._has_place(worker, now))
         ]
 
+    def is_closed(self, worker: Worker) -> bool:
+        """Return whether the worker's data centre is evacuated."""
+        return self.evacuations.closes(worker.registration.zone)
+
+    def is_out_of_use(self, worker: Worker) -> bool:
+        """Return whether the worker gets no requests for an unknown time."""
+        return worker.is_draining or self.is_closed(worker)
+
+    def is_evacuated(self, upstream: str) -> bool:
+        """Return whether an upstream's workers are all evacuated."""
+        staying = [
+            worker for worker in self.select(upstream) if not worker.is_draining
+        ]
+        is_closed = all(map(self.is_closed, staying))
+        return self.evacuations.is_known and bool(staying) and is_closed
+
+    def count_workers(self, zone: str) -> int:
+        """Return the number of workers of a data centre."""
+        return len(self._select_zone(zone))
+
+    def count_running(self, zone: str) -> int:
+        """Return this entry's requests at the workers of a data centre."""
+        return sum(worker.running for worker in self._select_zone(zone))
+
     def get_wait_s(self, worker: Worker, now: float) -> float:
         """Return the time until the end of a worker's pause and limit."""
         wait_s = max(0, worker.paused_until - now)
@@ -199,7 +226,7 @@
         waits = [
             self.get_wait_s(worker, now)
             for worker in self.select(upstream)
-            if not worker.is_draining
+            if not self.is_out_of_use(worker)
         ]
         return min(filter(None, waits), default=0)
 
@@ -298,6 +325,13 @@
             now,
         )
 
+    def _select_zone(self, zone: str) -> list[Worker]:
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.registration.zone == zone
+        ]
+
     def _replace(self, worker: Worker) -> None:
         earlier = self.workers.get(worker.registration.name)
         if earlier is not None:
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -204,9 +204,13 @@
 
         ``kv_source`` names the copy of its KV cache as ``ADDRESS/HANDLE``.
         """
-        if not self.is_over:
-            now = self.services.timers.now()
-            dispatching.resume(self, worker, now, kv_source)
+        if self.is_over:
+            return
+        if self.services.fleet.is_closed(worker):
+            self.fail_stream(evidence.describe_evacuated(self.upstream))
+            return
+        now = self.services.timers.now()
+        dispatching.resume(self, worker, now, kv_source)
 
     def finish_stream(self, source: attempt.Attempt) -> None:
         """Finish an answer whose end has been received."""
@@ -308,10 +312,15 @@
         self._finish(evidence.conclude(self.history, failed, delay_s))
 
     def _give_up_without_worker(self, now: float) -> None:
-        wait_s = self.services.fleet.get_least_wait_s(self.upstream, now)
-        self._give_up(
-            evidence.describe_no_worker(self.upstream, wait_s), wait_s
-        )
+        workers = self.services.fleet
+        if workers.is_evacuated(self.upstream):
+            spread = 0.5 + self.services.random.random()
+            wait_s = spread * workers.evacuations.get_return_s(now)
+            failed = evidence.describe_evacuated(self.upstream)
+        else:
+            wait_s = workers.get_least_wait_s(self.upstream, now)
+            failed = evidence.describe_no_worker(self.upstream, wait_s)
+        self._give_up(failed, wait_s)
 
     def _finish(self, failure: verdicts.Failure) -> None:
         if self.is_over:
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -98,7 +98,7 @@
             self._on_configuration,
         )
         self.services.quotas.peers.count_live = self._count_live
-        self.evacuation = relocation.Evacuation(self.services, adapter.mover)
+        self.relocations = relocation.Relocations(self.services, adapter.mover)
         self.peer_exchange = peer_exchange.PeerExchange(
             self.services,
             self.watcher,
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -37,8 +37,8 @@
         self.watcher = watcher
         self.lagging_version = 0
         self.lagging_since: float = 0
-        self.sources = sources.Sources(services, watcher, peers)
         self.copying = copying.Copying(services, watcher, peers)
+        self.sources = sources.Sources(services, watcher, peers, self.copying)
         self.crash_reporter = crash_reporting.CrashReporter(
             services, peers, steady_clock
         )
--- a/citronjunction/gateway/reach_checking.py
+++ b/citronjunction/gateway/reach_checking.py
@@ -236,7 +236,9 @@
         return [
             worker
             for worker in self.services.fleet.select(upstream)
-            if not (worker.is_draining or worker.is_absent)
+            if not (
+                worker.is_absent or self.services.fleet.is_out_of_use(worker)
+            )
         ]
 
     def _publish(self) -> None:
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -179,7 +179,7 @@
                 )
 
 
-class Evacuation:
+class Relocations:
     """Relocate the streams of workers that are being reclaimed."""
 
     def __init__(self, services: context.Services, mover: Mover) -> None:
--- a/citronjunction/gateway/sources.py
+++ b/citronjunction/gateway/sources.py
@@ -1,18 +1,22 @@
 """Sources of an entry's copies of stored objects: the store, or peers.
 
 A standby follows peers. While these are silent it polls the store, so that the
-loss of a peer never delays a change for longer than the store would.
+loss of a peer never delays a change for longer than the store would. It also
+polls the store for a kind that none of them has, because of an older build.
 """
 
 import dataclasses
 
-from citronjunction.gateway import context, watching
+from citronjunction.gateway import context, copying, watching
 from citronjunction.peering import node
+from citronjunction.transport import links
 
 CHECK_INTERVAL_S = 0.25
 # A peer that serves forwards states several times a second.
 SILENT_S = 1.0
 POLL_INTERVAL_S = 1.0  # between lists of the store while peers are silent
+# Between requests for a kind that no peer has answered for, and lists of it.
+UNANSWERED_INTERVAL_S = 2.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -27,6 +31,8 @@
     """Measure the silence of sources, and replace silent ones by the store."""
 
     __slots__ = (
+        'asked_at',
+        'copying',
         'is_silent',
         'peers',
         'polled_at',
@@ -40,10 +46,14 @@
         services: context.Services,
         watcher: watching.Watcher,
         peers: node.PeerNode,
+        copier: copying.Copying,
     ) -> None:
         self.services = services
         self.watcher = watcher
         self.peers = peers
+        self.copying = copier
+        # When peers were asked for a kind last without an answer before.
+        self.asked_at: float | None = None
         self.started_at = services.timers.now()
         self.polled_at = float('-inf')
         self.is_silent = False
@@ -79,15 +89,40 @@
         if is_silent and now - self.polled_at >= POLL_INTERVAL_S:
             self.polled_at = now
             self.watcher.poll()
+        self._check_evacuations(now)
+
+    def _check_evacuations(self, now: float) -> None:
+        """List a kind that the peers which this entry follows may not have."""
+        kind = self.watcher.decoder.evacuation_kind
+        kind_mirror = self.watcher.mirrors.get(kind)
+        if kind_mirror is None or not kind_mirror.is_following:
+            self.asked_at = None
+            return
+        serving = self._select_serving()
+        if any(self.copying.has_answered(kind, link) for link in serving):
+            self.asked_at = None
+            return
+        if self.asked_at is None:
+            self.asked_at = now
+        elif now - self.asked_at < UNANSWERED_INTERVAL_S:
+            return
+        else:
+            self.asked_at = now
+            kind_mirror.poll()
+        self.copying.ask_links(kind, serving)
 
     def _get_heard_at(self) -> float:
         """Return when a peer that watches the store was last heard."""
-        observed = self.peers.liveness.observed_entries
         return max(
-            (
-                link.received_at
-                for name, link in self.peers.open_links.items()
-                if name in observed and not observed[name].state.stands_by
-            ),
+            (link.received_at for link in self._select_serving()),
             default=self.started_at,
         )
+
+    def _select_serving(self) -> list[links.Link]:
+        """Return the links to peers that watch the store."""
+        observed = self.peers.liveness.observed_entries
+        return [
+            link
+            for name, link in self.peers.open_links.items()
+            if name in observed and not observed[name].state.stands_by
+        ]
--- a/citronjunction/gateway/trials.py
+++ b/citronjunction/gateway/trials.py
@@ -53,7 +53,7 @@
     def _record_workers(self, upstream: str, trial: rollouts.Trial) -> None:
         has_ready = any(
             worker.registration.version == trial.rollout.target
-            and not worker.is_draining
+            and not self.services.fleet.is_out_of_use(worker)
             for worker in self.services.fleet.select(upstream)
         )
         now = self.services.timers.now()
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -6,20 +6,21 @@
 from citronjunction.gateway import (
     adopting,
     context,
+    evacuating,
     fleet,
     models,
     rejections,
 )
 from citronjunction.store import eras, mirror, probing, records
 
-ROLLOUT_WAIT_FACTOR = 2  # rollouts are rare, so their watch waits longer
+RARE_WAIT_FACTOR = 2  # the watch of a kind with rare changes waits longer
 # Time after a restore of the store in which the platform removes registrations
 # of workers that are silent.
 RESTORED_WORKERS_S = 4.5
 REVIVE_INTERVAL_S = 0.5  # between checks that the mirrors go on
 
 
-class Decoder(Protocol):
+class Decoder(evacuating.Decoder, Protocol):
     """Decode stored objects into the types of the gateway.
 
     The decode methods return None for objects that they cannot decode.
@@ -77,6 +78,14 @@
         self.eras = store_eras
         self.decoder = decoder
         wait_s = services.settings.gateway.watch_s
+        rare_wait_s = wait_s * RARE_WAIT_FACTOR
+        kinds = {
+            decoder.configuration_kind: wait_s,
+            decoder.worker_kind: wait_s,
+            decoder.rollout_kind: rare_wait_s,
+        }
+        if services.settings.evacuations.is_followed:
+            kinds[decoder.evacuation_kind] = rare_wait_s
         self.mirrors = {
             kind: mirror.Mirror(
                 kind,
@@ -86,11 +95,7 @@
                 self,
                 kind_wait_s,
             )
-            for kind, kind_wait_s in (
-                (decoder.configuration_kind, wait_s),
-                (decoder.worker_kind, wait_s),
-                (decoder.rollout_kind, wait_s * ROLLOUT_WAIT_FACTOR),
-            )
+            for kind, kind_wait_s in kinds.items()
         }
         self.adopter = adopting.Adopter(
             services,
@@ -109,6 +114,9 @@
         self.is_suspended = False
         self.is_following = False
         self.rejections = rejections.Rejections(services)
+        self.evacuating = evacuating.Evacuating(
+            services, decoder, self.rejections
+        )
         # Called with a kind after each change of its mirror.
         self.on_copy_advanced: abc.Callable[[str], None] = _do_nothing
         self.recovered_at: float | None = None
@@ -116,11 +124,9 @@
 
     @property
     def is_synced(self) -> bool:
-        """Return whether configuration and workers are known."""
-        return (
-            self.services.configuration is not None
-            and self.mirrors[self.decoder.worker_kind].is_synced
-        )
+        """Return whether all that requests depend on is known."""
+        is_known = self.services.fleet.evacuations.is_known
+        return is_known and self._has_workers()
 
     def start(self) -> None:
         """Start all mirrors."""
@@ -189,11 +195,15 @@
             self._apply_configuration(record)
         elif kind == self.decoder.worker_kind:
             self._apply_worker(record)
+        elif kind == self.decoder.evacuation_kind:
+            self.evacuating.apply(record)
         else:
             self._apply_rollout(record)
 
     def on_removed(self, kind: str, name: str) -> None:
-        """Remove a worker whose registration vanished, after a grace period."""
+        """End an evacuation; remove a worker after a grace period."""
+        if kind == self.decoder.evacuation_kind:
+            self.evacuating.remove(name)
         if kind != self.decoder.worker_kind:
             return
         worker = self.services.fleet.mark_absent(name)
@@ -218,6 +228,8 @@
     def on_synced(self, kind: str) -> None:
         """Log that the objects of a kind are completely listed."""
         self.services.log.write('synced', kind)
+        if kind == self.decoder.evacuation_kind:
+            self.evacuating.on_listed()
 
     def on_advanced(self, kind: str) -> None:
         """Pass a new revision on to the peers that follow this entry."""
@@ -229,7 +241,15 @@
             self.recovered_at = self.services.timers.now()
         self.services.log.write('store', kind, is_reachable=is_reachable)
 
+    def _has_workers(self) -> bool:
+        """Return whether configuration and workers are known."""
+        return (
+            self.services.configuration is not None
+            and self.mirrors[self.decoder.worker_kind].is_synced
+        )
+
     def _revive(self) -> None:
+        self.evacuating.step(is_rest_known=self._has_workers())
         for kind, kind_mirror in self.mirrors.items():
             if kind_mirror.revive():
                 self.services.log.write('mirror restarted', kind)
@@ -249,6 +269,7 @@
         self.recovered_at = self.services.timers.now()
         self.restored_at = self.recovered_at
         self.services.rollouts.begin_era(self.recovered_at)
+        self.evacuating.begin_era()
         self.services.log.write('store restored', str(era))
         self.services.timers.call_later(
             RESTORED_WORKERS_S, self._apply_restored_workers
--- a/citronjunction/gateway/worker_events.py
+++ b/citronjunction/gateway/worker_events.py
@@ -57,7 +57,7 @@
 
     def on_worker_draining(self, worker: fleet.Worker) -> None:
         """Move the streams of a worker that begins to drain."""
-        self.owner.evacuation.schedule(worker)
+        self.owner.relocations.schedule(worker)
 
     def on_worker_leaving(self, worker: fleet.Worker) -> None:
         """Tell the peers that a worker's answer says that it will end."""
@@ -86,4 +86,4 @@
             upstream=worker.registration.upstream,
             source=source,
         )
-        self.owner.evacuation.schedule(worker)
+        self.owner.relocations.schedule(worker)
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -48,6 +48,10 @@
             'citron_rejected_objects',
             description='stored objects that could not be decoded',
         )
+        self.evacuations = meter.create_counter(
+            'citron_evacuations',
+            description='evacuations of data centres by change',
+        )
         self.first_token = meter.create_histogram(
             'citron_first_token',
             unit='s',
--- a/citronjunction/platform/object_decoder.py
+++ b/citronjunction/platform/object_decoder.py
@@ -1,7 +1,8 @@
 """Decoder of the objects that the users' platform stores."""
 
+from citronjunction.evacuations import models as evacuation_models
 from citronjunction.gateway import models
-from citronjunction.platform import configuration, registry
+from citronjunction.platform import configuration, evacuations, registry
 from citronjunction.store import records
 
 
@@ -12,6 +13,7 @@
     configuration_name = configuration.NAME
     worker_kind = registry.KIND
     rollout_kind = configuration.ROLLOUT_KIND
+    evacuation_kind = evacuations.KIND
 
     def decode_configuration(self, spec: object) -> models.Configuration | None:
         """Decode the configuration."""
@@ -33,6 +35,12 @@
             record.revision,
         )
 
+    def decode_evacuation(
+        self, record: records.Record
+    ) -> evacuation_models.Order | records.Rejection:
+        """Decode an order to evacuate a data centre."""
+        return evacuations.decode(record)
+
     def encode_rollout_status(
         self,
         target: str,
--- a/tests/conf/test_template.py
+++ b/tests/conf/test_template.py
@@ -11,6 +11,8 @@
 from citronjunction.conf import loader, models
 
 TEMPLATE = pathlib.Path(__file__).parents[2] / 'deploy' / 'node.ini'
+SECTION = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
+ZONES = ('casa-voyageurs', 'rabat-agdal')
 PLACEHOLDER = re.compile(r'\{\{([\w.]+)(?:\|json)?\}\}')
 TEXTS = {
     'node': 'edge-1',
@@ -36,13 +38,31 @@
     'bounds.quotaWindowS': ('quotas', 'window_s'),
     'bounds.windowS': ('duties', 'usage_window_s'),
     'bounds.usageLateS': ('duties', 'usage_late_s'),
+    'bounds.evacMs': ('evacuations', 'bound_ms'),
 }
 ODD_FIGURES = ('', '0', '-1', '1e400', 'nan', 'inf', 'null', 'true', '1,5')
 
 
+def render_sections(text, figures):
+    """Render the sections of fields that are present, each entry once."""
+
+    def render(found):
+        name, inner = found.groups()
+        if name != 'zones':
+            return render_sections(inner, figures) if name in figures else ''
+        return ''.join(
+            inner.replace('{{@}}', zone).replace(
+                '{{,}}', ',' * (zone != ZONES[-1])
+            )
+            for zone in ZONES
+        )
+
+    return SECTION.sub(render, text)
+
+
 def fill_in(figures):
     values = {**TEXTS, **figures}
-    text = TEMPLATE.read_text(encoding='utf-8')
+    text = render_sections(TEMPLATE.read_text(encoding='utf-8'), figures)
     return PLACEHOLDER.sub(lambda found: values[found[1]], text)
 
 
@@ -64,6 +84,19 @@
     assert names == {*TEXTS, *FIGURES}
 
 
+def test_evacuations_are_followed_only_where_the_platform_bounds_them(
+    tmp_path_factory,
+):
+    figures = dict.fromkeys(FIGURES, '1')
+    known, _ = load(tmp_path_factory, figures)
+    figures.pop('bounds.evacMs')
+    unknown, _ = load(tmp_path_factory, figures)
+
+    assert known.ok.evacuations.is_followed
+    assert known.ok.evacuations.zone_names == set(ZONES)
+    assert not unknown.ok.evacuations.is_followed
+
+
 @pytest.mark.parametrize('form', ['430.25', '0.5', '7', '4.3e2', '2.50E+01'])
 @pytest.mark.parametrize('figure', FIGURES)
 def test_a_positive_figure_is_used_in_any_form(tmp_path_factory, figure, form):
