Gateway: standbys of a fresh start count for nothing in quotas

Cause: a peer counts as serving as its last report was received. After a start of all entries the first reports come before the choice of who serves, and the next one of a standby up to 5.4 s later at 90 entries. Until then each of 82 standbys was taken to have used what the deciding entry had: 0.38 to 0.63 of the limits, and 228 requests of organisations at 0.2 to 0.65 of their limits got 429 (trace in docs/design/hard-load.md).

Change: live peers that stand by in the entry's own view and are not late are marked so each time that peers are expired. Late ones stay as they are, as they may serve in another partition; the bound of the accounting is unchanged.

--- a/citronjunction/gateway/quota_peers.py
+++ b/citronjunction/gateway/quota_peers.py
@@ -169,6 +169,19 @@
             if name not in reporting:
                 peer.period_s = SILENT_PEER_RESERVE_S
 
+    def apply_roles(self, standbys: abc.Container[str], now: float) -> None:
+        """Apply the roles of live peers, which their last reports predate.
+
+        Entries that start together all count as serving until the first
+        choice. A standby reports rarely, and would count as if it served
+        callers until then. One that is late may be in another partition, in
+        which it serves.
+        """
+        for name, peer in self.by_name.items():
+            is_known = name in standbys and not peer.is_late(now)
+            if is_known and peer.report.is_serving:
+                peer.report = dataclasses.replace(peer.report, is_serving=False)
+
     def mark_leaving(self, name: str) -> None:
         """Record that a peer stops; its share is freed once it is silent."""
         peer = self.by_name.get(name)
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -203,8 +203,17 @@
             if not self._is_live(name, now):
                 self.loads.pop(name)
         self.services.quotas.peers.expire(now)
+        self.services.quotas.peers.apply_roles(self._select_standbys(now), now)
         self._merge_loads(now)
 
+    def _select_standbys(self, now: float) -> set[str]:
+        """Return the names of the live entries that stand by."""
+        return {
+            state.name
+            for state in self.peers.liveness.select_live(now)
+            if not self.peers.roles.is_serving(state.name)
+        }
+
     def _is_live(self, name: str, now: float) -> bool:
         limit_s = max(
             self.services.settings.membership.lost_after_s,
