Duties: a new holder keeps the workers that it finds in use

Change: while callers have sent requests and the demand has not been seen for 12 s, the least number is what was found ready; reclaimable workers that have started still replace on-demand ones.

The fake platform of these tests has moved to tests/support; the tests there are unchanged.

--- a/citronjunction/duties/autoscaling.py
+++ b/citronjunction/duties/autoscaling.py
@@ -71,6 +71,7 @@
             self._measure_demand(name, now),
             self._count_workers(name, is_stable=False),
             has_trial=self.services.rollouts.holds_workers(name, now),
+            has_callers=self.get_offered(name) > 0,
         )
         for order in scaler.decide(state, now):
             self._send(scaler, order, get_fence, now)
--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -42,7 +42,8 @@
     reclaimable. ``tokens_per_s`` are the prompt tokens that callers send at
     present, None until measured. ``other_workers`` are those of a version that
     does not take usual requests. While ``has_trial``, they are on trial, and the
-    platform counts them in the orders.
+    platform counts them in the orders. ``has_callers`` tells whether callers
+    have sent requests, also while their rate is not measured yet.
     """
 
     scaling: gateway.Scaling
@@ -52,6 +53,7 @@
         dataclasses.field(default_factory=dict)
     )
     has_trial: bool = False
+    has_callers: bool = False
 
     def count_on_trial(self, key: tuple[str, bool]) -> int:
         """Return the workers on trial, which orders must not remove."""
@@ -77,6 +79,7 @@
     __slots__ = (
         'assumed_need',
         'demand_since',
+        'found_workers',
         'has_trial',
         'largest_total',
         'last_growth_at',
@@ -100,6 +103,8 @@
         self.peak_at: float = 0
         self.demand_since: float | None = None
         self.assumed_need = 0
+        # Workers in use when this entry became the holder.
+        self.found_workers = 0
         self.largest_total = 0
         self.last_growth_at: float = 0
         self.started_at: float | None = None
@@ -168,7 +173,7 @@
         boot_s = state.scaling.boot_s + BOOT_MARGIN_S
         if self.demand_since is not None or now - self.started_at > boot_s:
             return True
-        total = sum(current.ready for current in state.workers.values())
+        total = _count_ready(state)
         if total > self.largest_total:
             self.largest_total = total
             self.last_growth_at = now
@@ -179,6 +184,10 @@
             self.assumed_need = max(
                 self.assumed_need, _estimate_start_need(state)
             )
+            if state.has_callers:
+                self.found_workers = max(
+                    self.found_workers, _count_ready(state)
+                )
         demand = state.tokens_per_s
         if demand is None:
             return
@@ -196,7 +205,8 @@
         scaling = state.scaling
         zones = sorted(scaling.prices, key=lambda zone: scaling.prices[zone])
         reclaimable = _spread(self._get_need(now), zones, scaling)
-        retained = self._retain_on_demand(state, reclaimable)
+        min_workers = self._get_min_workers(now)
+        retained = self._retain_on_demand(state, reclaimable, min_workers)
         for zone, count in retained.items():
             reclaimable[zone] = min(reclaimable[zone], scaling.maximum - count)
         expected = {
@@ -204,7 +214,6 @@
             for zone, count in reclaimable.items()
         }
         wanted = {(zone, True): count for zone, count in reclaimable.items()}
-        min_workers = self._get_min_workers()
         if self._is_capacity_short(now):
             # Reclaims come in waves: plan for the loss of another data centre.
             min_workers += max(expected.values(), default=0)
@@ -220,20 +229,33 @@
             shortfall = max(0, shortfall - substitutes)
         return wanted
 
-    def _get_min_workers(self) -> int:
-        return math.ceil(self.peak / MAX_WORKER_TOKENS_PER_S)
+    def _get_min_workers(self, now: float) -> int:
+        """Return the least number of workers that the callers need.
+
+        A new holder does not know their peak. Until it has seen enough of
+        them, it keeps as many workers as it found in use.
+        """
+        measured = math.ceil(self.peak / MAX_WORKER_TOKENS_PER_S)
+        if self._is_demand_known(now):
+            return measured
+        return max(measured, self.found_workers)
+
+    def _is_demand_known(self, now: float) -> bool:
+        since = self.demand_since
+        return since is not None and now - since >= MIN_OBSERVATION_S
 
     def _retain_on_demand(
         self,
         state: UpstreamState,
         reclaimable: dict[str, int],
+        min_workers: int,
     ) -> dict[str, int]:
         """Return the on-demand workers to keep until others have started."""
         started = {
             zone: min(count, _count(state, zone, is_reclaimable=True))
             for zone, count in reclaimable.items()
         }
-        shortfall = max(0, self._get_min_workers() - sum(started.values()))
+        shortfall = max(0, min_workers - sum(started.values()))
         retained = {}
         for zone, count in started.items():
             places = state.scaling.maximum - count
@@ -276,8 +298,7 @@
 
     def _get_need(self, now: float) -> int:
         need = math.ceil(self.peak / TARGET_WORKER_TOKENS_PER_S)
-        since = self.demand_since
-        if since is None or now - since < MIN_OBSERVATION_S:
+        if not self._is_demand_known(now):
             need = max(need, self.assumed_need)
         if need >= self.need or now - self.need_at > SHRINK_DELAY_S:
             self.need = need
@@ -313,15 +334,20 @@
         return count > current and now - self.trial_changed_at >= SETTLE_S
 
 
+def _count_ready(state: UpstreamState) -> int:
+    return sum(current.ready for current in state.workers.values())
+
+
 def _estimate_start_need(state: UpstreamState) -> int:
     """Estimate the workers for a usual load from those that run."""
-    on_demand = 0
-    total = 0
-    for (_, is_reclaimable), current in state.workers.items():
-        total += current.ready
-        if not is_reclaimable:
-            on_demand += current.ready
-    return max(total, math.ceil(on_demand * WORKERS_PER_ON_DEMAND))
+    on_demand = sum(
+        current.ready
+        for (_, is_reclaimable), current in state.workers.items()
+        if not is_reclaimable
+    )
+    return max(
+        _count_ready(state), math.ceil(on_demand * WORKERS_PER_ON_DEMAND)
+    )
 
 
 def _spread(
--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -2,74 +2,15 @@
 
 import pytest
 
-from citronjunction.duties import models, scaling
-from citronjunction.gateway import models as gateway
-
-PRICES = {'a': 1.0, 'b': 0.8, 'c': 1.25, 'd': 0.9}
-LIMITS = gateway.Scaling(1, 3, 4.0, 0.18, PRICES)
-
-
-class FakePlatform:
-    """Start ordered workers after the boot time, unless it refuses them."""
-
-    def __init__(self, on_demand):
-        self.scaler = scaling.Scaler('llm')
-        self.now = 100.0
-        self.running = dict(on_demand)
-        self.starting = []
-        self.refuses_reclaimable = False
-        self.orders = []
-
-    def run(self, seconds, tokens_per_s=None):
-        end = self.now + seconds
-        while self.now < end:
-            self.step(tokens_per_s)
-            self.now += 0.5
-
-    def step(self, tokens_per_s):
-        for at, key, count in tuple(self.starting):
-            if at <= self.now:
-                self.starting.remove((at, key, count))
-                self.running[key] = count
-        workers = {
-            key: scaling.WorkerCount(count)
-            for key, count in self.running.items()
-        }
-        state = scaling.UpstreamState(LIMITS, workers, tokens_per_s)
-        for order in self.scaler.decide(state, self.now):
-            self.scaler.record_sent(order, self.now)
-            self.scaler.record_result(order, self._place(order), self.now)
-
-    def _place(self, order):
-        self.orders.append((self.now, order))
-        key = (order.zone, order.is_reclaimable)
-        running = self.running.get(key, 0)
-        if (
-            self.refuses_reclaimable
-            and order.is_reclaimable
-            and order.count > running
-        ):
-            return models.CallResult.unobtainable
-        if order.count < running:
-            self.running[key] = order.count
-        elif order.count > running:
-            self.starting.append((self.now + 4, key, order.count))
-        return models.CallResult.accepted
-
-    def reclaim(self, zone):
-        self.running[(zone, True)] = 0
-
-    def count(self, is_reclaimable):
-        return sum(
-            count
-            for (_, reclaimable), count in self.running.items()
-            if reclaimable is is_reclaimable
-        )
+from citronjunction.duties import scaling
+from tests.support import scaled_platform
 
 
 @pytest.fixture
 def started():
-    platform = FakePlatform({('a', False): 2, ('b', False): 2, ('c', False): 1})
+    platform = scaled_platform.FakePlatform(
+        {('a', False): 2, ('b', False): 2, ('c', False): 1}
+    )
     platform.run(12)
     return platform
 
@@ -80,7 +21,7 @@
 
 
 def test_workers_that_register_late_are_counted_before_the_first_order():
-    platform = FakePlatform({})
+    platform = scaled_platform.FakePlatform({})
     for number in range(8):
         platform.running[('abcd'[number % 4], False)] = 1 + number // 4
         platform.run(0.5)
@@ -92,7 +33,7 @@
 
 
 def test_the_minimum_is_ordered_if_no_worker_registers():
-    platform = FakePlatform({})
+    platform = scaled_platform.FakePlatform({})
     platform.run(4)
     assert not platform.orders
     platform.run(8)
@@ -132,11 +73,11 @@
     total = started.count(is_reclaimable=True)
     total += started.count(is_reclaimable=False)
     assert total >= 8
-    for zone in PRICES:
+    for zone in scaled_platform.PRICES:
         running = sum(
             started.running.get((zone, kind), 0) for kind in (True, False)
         )
-        assert running <= LIMITS.maximum
+        assert running <= scaled_platform.LIMITS.maximum
 
 
 def test_on_demand_workers_stop_once_reclaimable_ones_are_back(started):
@@ -226,3 +167,67 @@
     total = started.count(is_reclaimable=True)
     total += started.count(is_reclaimable=False)
     assert total * scaling.MAX_WORKER_TOKENS_PER_S >= 200_000
+
+
+def lose_holder(platform, seconds, measured_after_s=2):
+    """Decide nothing for a while, then go on with a new holder."""
+    platform.now += seconds
+    platform.scaler = scaling.Scaler('llm')
+    platform.has_callers = True
+    fewest = count_all(platform)
+    for number in range(20):
+        is_measured = number * 0.5 >= measured_after_s
+        platform.run(0.5, tokens_per_s=200_000 if is_measured else None)
+        fewest = min(fewest, count_all(platform))
+    return fewest
+
+
+def count_all(platform):
+    return platform.count(is_reclaimable=True) + platform.count(
+        is_reclaimable=False
+    )
+
+
+def test_a_new_holder_keeps_on_demand_workers_in_a_dry_reclaim_wave(started):
+    # All data centres are reclaimed one by one; the store, and with it the
+    # lease, is away while none can be had.
+    started.run(20, tokens_per_s=200_000)
+    started.refuses_reclaimable = True
+    for zone in scaled_platform.PRICES:
+        started.reclaim(zone)
+        started.run(3, tokens_per_s=200_000)
+    started.run(6, tokens_per_s=200_000)
+    count_before = count_all(started)
+
+    assert count_before >= 200_000 / scaling.MAX_WORKER_TOKENS_PER_S
+    assert lose_holder(started, 8) >= count_before
+
+
+def test_a_new_holder_keeps_on_demand_workers_while_callers_return(started):
+    # Their rate is low at first, as after a loss of all entries.
+    started.run(20, tokens_per_s=200_000)
+    started.refuses_reclaimable = True
+    for zone in scaled_platform.PRICES:
+        started.reclaim(zone)
+    started.run(8, tokens_per_s=200_000)
+    count_before = count_all(started)
+    started.scaler = scaling.Scaler('llm')
+    started.has_callers = True
+    started.run(2)
+    started.run(4, tokens_per_s=30_000)
+
+    assert count_all(started) >= count_before > 0
+
+
+def test_a_new_holder_replaces_on_demand_workers_by_reclaimable_ones(started):
+    started.run(20, tokens_per_s=200_000)
+    started.refuses_reclaimable = True
+    started.reclaim('a')
+    started.reclaim('b')
+    started.run(8, tokens_per_s=200_000)
+    assert started.count(is_reclaimable=False)
+    started.refuses_reclaimable = False
+    lose_holder(started, 4)
+    started.run(12, tokens_per_s=200_000)
+
+    assert not started.count(is_reclaimable=False)
