--- a/citronjunction/duties/autoscaling.py
+++ b/citronjunction/duties/autoscaling.py
@@ -73,6 +73,7 @@
             self._count_workers(name, is_stable=False),
             has_trial=self.services.rollouts.holds_workers(name, now),
             closed_zones=self.services.fleet.evacuations.by_zone,
+            has_callers=self.get_offered(name) > 0,
         )
         for order in scaler.decide(state, now):
             self._send(scaler, order, get_fence, now)
