Pacing: the bound of cold workers holds over all entries

Cause: coldS and coldPerS of an upstream were decoded by nothing, so all entries together could send a cold worker any number of requests.

Change: the bound of a worker is divided into tokens, whose owners are entries by rendezvous hash. An entry that serves uses its part of those whose owners it hears, so that the parts of groups that are cut off from each other add up to the bound. Every path that chooses a worker asks for a token; an entry without a share forwards to a peer, or rejects at once. Figures that can't be used are logged and the last ones stay. No message or stored format changes.

--- a/citronjunction/conf/models.py
+++ b/citronjunction/conf/models.py
@@ -231,6 +231,20 @@
     window_s: Seconds = describe('window over which usage is summed', 8.0, 's')
 
 
+@dataclasses.dataclass(slots=True)
+class Pacing:
+    """Bound of the requests to a worker whose caches are cold."""
+
+    cold_overrun: Ratio = describe(
+        'requests a second to a cold worker, as a ratio of the rate that it'
+        ' bears',
+        1.0,
+    )
+    cold_slack: Amount = describe(
+        'requests a second in addition to the ratio', 0
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Duties:
     """Duties that one entry at a time performs under a lease."""
@@ -267,6 +281,7 @@
     gateway: Gateway = dataclasses.field(default_factory=Gateway)
     retries: Retries = dataclasses.field(default_factory=Retries)
     quotas: Quotas = dataclasses.field(default_factory=Quotas)
+    pacing: Pacing = dataclasses.field(default_factory=Pacing)
     duties: Duties = dataclasses.field(default_factory=Duties)
 
 
--- a/citronjunction/gateway/assembling.py
+++ b/citronjunction/gateway/assembling.py
@@ -9,6 +9,7 @@
     counting,
     fleet,
     forwarding,
+    pace_keeping,
     ports,
     quotas,
     reachability,
@@ -28,7 +29,7 @@
     settings = owner.settings
     timers = owner.loop.timers
     source = owner.loop.random
-    workers = fleet.Fleet()
+    workers = fleet.Fleet(pace_keeping.build_pacer(settings, timers.now()))
     reach = reachability.Reachability()
     return context.Services(
         settings,
--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -26,7 +26,7 @@
     worker = candidate.worker
     new_attempt = _build(flow, worker)
     flow.history.sends += 1
-    flow.services.fleet.limits.record_send(worker.registration.start_key, now)
+    flow.services.fleet.record_send(worker, now)
     if flow.request.prompt is not None:
         new_attempt.pending_prefill_tokens = candidate.prefill_tokens
         new_attempt.prefill_tokens = candidate.prefill_tokens
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -10,6 +10,7 @@
     limits,
     models,
 )
+from citronjunction.pacing import pacer as pacing, roster
 
 # Time for which a worker is still used after its registration vanished; must
 # stay below the time within which a draining worker has to be out of use.
@@ -36,7 +37,7 @@
     are the prompt tokens of those without a first event, by urgency group.
     ``peer_running`` and ``peer_prefill_tokens`` are the same for the other
     entries, as last reported. ``warming_until`` is in monotonic seconds, and so
-    is ``paused_until``, before which the worker wants no request of this entry.
+    are ``cold_until``, before which it may be cold, and ``paused_until``, before which the worker wants no request of this entry.
     ``is_leaving`` means that its answers say that it will end, ``is_peer`` that
     this is another entry, to which requests are forwarded. ``heard_at`` is when
     bytes came from it last, in monotonic seconds.
@@ -57,6 +58,7 @@
     paused_until: float = 0
     is_absent: bool = False
     warming_until: float = 0
+    cold_until: float = 0
     is_peer: bool = False
     heard_at: float = 0
 
@@ -105,10 +107,15 @@
         'departures',
         'leaving',
         'limits',
+        'pacer',
         'workers',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, pacer: pacing.Pacer | None = None) -> None:
+        """Use a pacer that knows the peers, if there are any."""
+        self.pacer = pacer or pacing.Pacer(
+            roster.Roster('', 0, has_seeds=False)
+        )
         self.departures: dict[str, Departure] = {}
         # Latest start of each worker whose answers say that it will end.
         self.leaving: dict[str, int] = {}
@@ -132,6 +139,7 @@
         ):
             known = Worker(registration, health.Health())
             self._replace(known)
+            self.expect_cold(known, now)
         elif registration.started_at_ms < known.registration.started_at_ms:
             return known
         elif _has_other_upstream(known.registration, registration):
@@ -145,10 +153,23 @@
         known.is_leaving = known.is_leaving or _is_start_leaving(
             self.leaving, registration
         )
+        if known.is_absent:
+            self.expect_cold(known, now)
         known.is_absent = False
         known.warming_until = now + registration.warmup_s
+        known.cold_until = max(known.cold_until, known.warming_until)
         return known
 
+    def expect_cold(self, worker: Worker, now: float) -> None:
+        """Assume that a worker has just become cold."""
+        cold_s = self.pacer.get_cold_s(worker.registration.upstream)
+        worker.cold_until = max(worker.cold_until, now + cold_s)
+
+    def record_send(self, worker: Worker, now: float) -> None:
+        """Count a request that this entry sends to a worker."""
+        self.limits.record_send(worker.registration.start_key, now)
+        self.pacer.record_send(get_target(worker), now)
+
     def mark_leaving(self, name: str, started_at_ms: int) -> Worker | None:
         """Record that a start of a worker will end.
 
@@ -184,11 +205,14 @@
         ]
 
     def get_wait_s(self, worker: Worker, now: float) -> float:
-        """Return the time until the end of a worker's pause and limit."""
+        """Return the time until a worker's pause, limit and pace permit one."""
         wait_s = max(0, worker.paused_until - now)
         if self.limits.by_start:
             start_key = worker.registration.start_key
             wait_s = max(wait_s, self.limits.get_wait_s(start_key, now))
+        if self.pacer.bounds:
+            paced_s = self.pacer.get_wait_s(get_target(worker), now)
+            wait_s = max(wait_s, paced_s)
         return wait_s
 
     def get_least_wait_s(self, upstream: str, now: float) -> float:
@@ -312,6 +336,14 @@
             self.by_upstream.setdefault(upstream, []).append(worker)
 
 
+def get_target(worker: Worker) -> pacing.Target:
+    """Return a worker as its pacer knows it."""
+    registration = worker.registration
+    return pacing.Target(
+        registration.name, registration.upstream, worker.cold_until
+    )
+
+
 def _is_start_leaving(
     leaving: abc.Mapping[str, int],
     registration: models.WorkerRegistration,
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -258,7 +258,7 @@
             self._try_worker()
             return
         if candidate is None:
-            self._give_up_without_worker(now)
+            self._go_without_worker(now)
             return
         if self.request.prompt is not None and not self.history.attempts:
             refusal = admitting.shed(services, self.route, candidate)
@@ -276,6 +276,11 @@
             self.upstream, connect_failures
         ):
             return False
+        return self._forward(now)
+
+    def _forward(self, now: float) -> bool:
+        """Forward the request; return whether a peer gets it."""
+        forwarder = self.services.forwarder
         peer = forwarder.choose(self.upstream, self.tried, now)
         if peer is not None:
             dispatching.forward(self, peer, now)
@@ -307,7 +312,12 @@
         delay_s = wait_s + RETRY_AFTER_S * spread
         self._finish(evidence.conclude(self.history, failed, delay_s))
 
-    def _give_up_without_worker(self, now: float) -> None:
+    def _go_without_worker(self, now: float) -> None:
+        """Leave a request to a peer with a share of the workers, or give up."""
+        pacer = self.services.fleet.pacer
+        is_shared = self.forwarded is None and self.upstream in pacer.bounds
+        if is_shared and not pacer.has_share() and self._forward(now):
+            return
         wait_s = self.services.fleet.get_least_wait_s(self.upstream, now)
         self._give_up(
             evidence.describe_no_worker(self.upstream, wait_s), wait_s
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -98,15 +98,35 @@
     can_back_up: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ColdStart:
+    """What a worker bears while it is cold; a rate of 0 means no bound.
+
+    A worker is cold for ``cold_s`` after its start. ``per_s`` counts the
+    requests of all entries.
+    """
+
+    cold_s: float
+    per_s: float
+
+
+NO_COLD_START = ColdStart(0, 0)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class UpstreamPolicy:
-    """Describe an upstream; ``max_connections`` is per worker."""
+    """Describe an upstream; ``max_connections`` is per worker.
+
+    ``cold_start`` is None if it can't be used, until a configuration is
+    applied.
+    """
 
     name: str
     health_path: str
     max_connections: int
     scaling: Scaling | None
     engine: Engine | None
+    cold_start: ColdStart | None = NO_COLD_START
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -226,6 +226,7 @@
         http.max_head = limits.head_bytes + forwarding.MARK_BYTES
         http.max_body = limits.body_bytes
         http.idle_s = limits.idle_s + 1
+        self.peer_exchange.pace_keeper.apply(self.services.configuration)
         self.announcer.announce()
 
     def _begin_era(self) -> None:
--- a/citronjunction/gateway/peer_exchange.py
+++ b/citronjunction/gateway/peer_exchange.py
@@ -7,6 +7,7 @@
     copying,
     crash_reporting,
     easing,
+    pace_keeping,
     reach_checking,
     sharing,
     sources,
@@ -49,6 +50,9 @@
         self.reach_checker = reach_checking.ReachChecker(
             services, peers, steady_clock, incarnation
         )
+        self.pace_keeper = pace_keeping.PaceKeeper(
+            services.fleet.pacer, peers, services.log
+        )
         self.trial_assessor = trials.TrialAssessor(services, peers, incarnation)
         self.sharing = sharing.Sharing(
             services,
@@ -64,6 +68,9 @@
         self.sources.start()
         self.trial_assessor.start()
         self.reach_checker.start()
+        self.services.timers.call_every(
+            pace_keeping.INTERVAL_S, self.pace_keeper.step
+        )
 
     def on_fact(self, fact: facts.Fact) -> None:
         """Process a fact other than an entry's state."""
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -259,15 +259,20 @@
         ]
 
     def _relocate(self, flow: 'flow.Flow', worker: fleet.Worker) -> None:
+        now = self.services.timers.now()
         candidate = self.services.chooser.choose(
             flow.upstream,
             flow.request.prompt,
             0,
             (worker,),
-            self.services.timers.now(),
+            now,
             lambda target: flow.allows(target) and not self._is_limited(target),
         )
         if candidate is not None:
+            # The stream resumes there whatever is sent meanwhile.
+            self.services.fleet.pacer.record_send(
+                fleet.get_target(candidate.worker), now
+            )
             flow.relocation = Relocation(
                 flow,
                 worker,
--- a/citronjunction/platform/configuration.py
+++ b/citronjunction/platform/configuration.py
@@ -12,6 +12,8 @@
 KIND = 'config'
 NAME = 'main'
 ROLLOUT_KIND = 'rollouts'
+MAX_COLD_S = 3600.0
+MAX_COLD_PER_S = 1e6
 
 Number = float
 Figure = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
@@ -71,8 +73,23 @@
     backups: bool = False
 
 
+class WireColdStart(WireModel):
+    """What a worker bears while it is cold."""
+
+    model_config = pydantic.ConfigDict(extra='ignore', strict=True)
+
+    cold_s: float = pydantic.Field(
+        default=0, ge=0, le=MAX_COLD_S, allow_inf_nan=False
+    )
+    cold_per_s: float = pydantic.Field(
+        default=0, ge=0, le=MAX_COLD_PER_S, allow_inf_nan=False
+    )
+
+
 class WireService(WireModel):
-    """One upstream."""
+    """One upstream; its figures of a cold start are decoded by themselves."""
+
+    model_config = pydantic.ConfigDict(extra='allow')
 
     name: str
     health_path: str = ''
@@ -246,9 +263,24 @@
         wire.max_conns,
         scaling,
         engine,
+        _build_cold_start(wire),
     )
 
 
+def _build_cold_start(service: WireService) -> models.ColdStart | None:
+    """Return the figures, or log why they are unusable and return None."""
+    try:
+        wire = WireColdStart.model_validate(service.model_extra)
+    except pydantic.ValidationError as error:
+        logging.error(
+            'cold start of %s is unusable, the last one stays in force: %s',
+            service.name,
+            _summarise(error),
+        )
+        return None
+    return models.ColdStart(wire.cold_s, wire.cold_per_s)
+
+
 def _build_organisation(wire: WireTenant) -> models.Organisation:
     return models.Organisation(wire.name, wire.priority, _build_quota(wire))
 
