--- a/citronjunction/gateway/assembling.py
+++ b/citronjunction/gateway/assembling.py
@@ -10,6 +10,7 @@
     counting,
     fleet,
     forwarding,
+    pace_keeping,
     ports,
     quotas,
     reachability,
@@ -29,7 +30,7 @@
     settings = owner.settings
     timers = owner.loop.timers
     source = owner.loop.random
-    workers = fleet.Fleet()
+    workers = fleet.Fleet(pace_keeping.build_pacer(settings, timers.now()))
     workers.evacuations = evacuations.Evacuations(
         is_known=not settings.evacuations.is_followed
     )
--- a/citronjunction/gateway/evacuating.py
+++ b/citronjunction/gateway/evacuating.py
@@ -56,7 +56,7 @@
         """End an evacuation, or keep it after a restore of the store."""
         ended = self.state.remove(name, self._now())
         if ended is not None:
-            self._log_end(ended)
+            self._end(ended)
         elif name in self.state.absent:
             self.services.log.write('evacuation kept', name)
 
@@ -72,7 +72,7 @@
         """Do what time brings: the end of waits and of the last requests."""
         now = self._now()
         for ended in self.state.expire(now):
-            self._log_end(ended)
+            self._end(ended)
         bound_s = self.services.settings.evacuations.bound_ms / MS_PER_S
         if is_rest_known and self.state.assume_none(now, bound_s):
             self.services.log.write('evacuations unknown', str(len(self.busy)))
@@ -102,9 +102,11 @@
             running=self.services.fleet.count_running(order.zone),
         )
 
-    def _log_end(self, ended: models.Evacuation) -> None:
+    def _end(self, ended: models.Evacuation) -> None:
         zone = ended.order.zone
         self.busy.discard(zone)
+        # Its workers may have become cold shortly before.
+        self.services.fleet.expect_cold_zone(zone, self._now())
         if self._is_data_centre(zone):
             self._count('ended')
             self.services.log.write(
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -15,6 +15,7 @@
     recording,
     relocation,
     responses,
+    vacancies,
 )
 from citronjunction.transport import http_server, timer_queue
 from citronjunction.verdicts import models as verdicts
@@ -262,7 +263,7 @@
             self._try_worker()
             return
         if candidate is None:
-            self._give_up_without_worker(now)
+            self._go_without_worker(now)
             return
         if self.request.prompt is not None and not self.history.attempts:
             refusal = admitting.shed(services, self.route, candidate)
@@ -280,6 +281,11 @@
             self.upstream, connect_failures
         ):
             return False
+        return self._forward(now)
+
+    def _forward(self, now: float) -> bool:
+        """Forward the request; return whether a peer gets it."""
+        forwarder = self.services.forwarder
         peer = forwarder.choose(self.upstream, self.tried, now)
         if peer is not None:
             dispatching.forward(self, peer, now)
@@ -311,15 +317,13 @@
         delay_s = wait_s + RETRY_AFTER_S * spread
         self._finish(evidence.conclude(self.history, failed, delay_s))
 
-    def _give_up_without_worker(self, now: float) -> None:
+    def _go_without_worker(self, now: float) -> None:
+        """Leave a request to a peer with a share of the workers, or give up."""
         workers = self.services.fleet
-        if workers.is_evacuated(self.upstream):
-            spread = 0.5 + self.services.random.random()
-            wait_s = spread * workers.evacuations.get_return_s(now)
-            failed = evidence.describe_evacuated(self.upstream)
-        else:
-            wait_s = workers.get_least_wait_s(self.upstream, now)
-            failed = evidence.describe_no_worker(self.upstream, wait_s)
+        is_shared = self.forwarded is None and workers.needs_peer(self.upstream)
+        if is_shared and self._forward(now):
+            return
+        failed, wait_s = vacancies.describe(self.services, self.upstream, now)
         self._give_up(failed, wait_s)
 
     def _finish(self, failure: verdicts.Failure) -> None:
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -6,6 +6,7 @@
 from citronjunction.gateway import (
     adopting,
     context,
+    departures,
     evacuating,
     fleet,
     models,
@@ -357,7 +358,7 @@
                 running=worker.total_running,
             )
 
-    def _has_returned(self, departure: fleet.Departure) -> bool:
+    def _has_returned(self, departure: departures.Departure) -> bool:
         """Return whether a worker that was removed is in use again.
 
         A restored store may list a worker that is gone, until the platform
--- a/tests/conf/test_template.py
+++ b/tests/conf/test_template.py
@@ -36,6 +36,8 @@
     'bounds.retryWindowS': ('retries', 'window_s'),
     'bounds.retrySlack': ('retries', 'slack'),
     'bounds.quotaWindowS': ('quotas', 'window_s'),
+    'bounds.coldOverrun': ('pacing', 'cold_overrun'),
+    'bounds.coldSlack': ('pacing', 'cold_slack'),
     'bounds.windowS': ('duties', 'usage_window_s'),
     'bounds.usageLateS': ('duties', 'usage_late_s'),
     'bounds.evacMs': ('evacuations', 'bound_ms'),
@@ -129,7 +131,10 @@
     for figure, (section, name) in FIGURES.items():
         used = getattr(getattr(loaded.ok, section), name)
         assert math.isfinite(used) and used >= 0
-        if any(place.endswith(f'[{section}] {name}') for place in replaced):
+        is_left_out = section == 'pacing' and not figures['bounds.coldOverrun']
+        if is_left_out or any(
+            place.endswith(f'[{section}] {name}') for place in replaced
+        ):
             assert used == get_default((section, name))
         else:
             assert used == float(figures[figure])
