--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -21,7 +21,7 @@
     stream in the middle of the event after that number. While ``is_silent``, requests run without an answer. The
     process ends as it begins to answer a prompt with ``deadly_part``. The next
     ``repeats_left`` refusals are written once more when a request follows on
-    their connection.
+    their connection. Plain answers have ``padding`` bytes more.
 
     With ``slots`` set, requests beyond them are refused. A worker that names
     ``brittle`` falls over when it refuses more than that in a second, and loses
@@ -46,6 +46,7 @@
     slots: int = 0
     deadly_part: str = ''
     repeats_left: int = 0
+    padding: int = 0
 
 
 class PlatformWorker:
@@ -161,6 +162,7 @@
             self._stream(exchange)
         else:
             body = f'{self.name} {exchange.request.path}'.encode()
+            body += bytes(behaviour.padding)
             headers = self._sign(exchange)
             self._respond(exchange, behaviour.status, headers, body)
 
