Evacuations: lost answers of watches are noticed within a second

Cause: the hand run of the state machine (EVACUATION_EXAMPLES=2000, 7 entries) found that an order is not heard for up to the watch's wait if all entries are cut from the store for the moment in which it answers their watches.

Change: where evacuations are followed, the probe of the store lists that kind each second by the cheap call, in place of reading one object; a newer list that differs starts the mirror anew.

test_an_order_whose_watch_answers_are_all_lost_is_heard is its test.

--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -111,6 +111,8 @@
             self._on_probe,
             self._get_answered_at,
         )
+        if services.settings.evacuations.is_followed:
+            self.probe.short_kind = decoder.evacuation_kind
         self.is_suspended = False
         self.is_following = False
         self.rejections = rejections.Rejections(services)
@@ -280,11 +282,14 @@
             self._apply_worker(record)
 
     def _get_answered_at(self) -> float:
+        if self.probe.short_kind:
+            # The answers to its watch may be lost while others arrive.
+            return self.mirrors[self.probe.short_kind].answered_at
         return max(
             kind_mirror.answered_at for kind_mirror in self.mirrors.values()
         )
 
-    def _on_probe(self, result: records.ReadResult) -> None:
+    def _on_probe(self, result: probing.Result) -> None:
         match result:
             case records.Unavailable(reason=reason):
                 if not self.is_suspended:
@@ -296,6 +301,8 @@
                 self.is_suspended = False
                 for kind_mirror in self.mirrors.values():
                     kind_mirror.start()
+            case records.Page():
+                self.mirrors[self.probe.short_kind].check_changes(result)
 
     def _get_grace_s(self, worker: fleet.Worker) -> float:
         now = self.services.timers.now()
--- a/citronjunction/platform/object_store.py
+++ b/citronjunction/platform/object_store.py
@@ -84,6 +84,11 @@
         path = _build_path(kind, name, {'serializable': '1'})
         self._call('GET', path, None, _RecordDecoder(on_read))
 
+    def list_stale(self, kind: str, on_list: records.OnList) -> None:
+        """List a page of a kind, possibly out of date, at less cost."""
+        path = _build_path(kind, query={'serializable': '1'})
+        self._call('GET', path, None, _PageDecoder(on_list))
+
     def create(
         self,
         kind: str,
--- a/citronjunction/store/mirror.py
+++ b/citronjunction/store/mirror.py
@@ -158,6 +158,16 @@
         silent_s = self.timers.now() - self.answered_at
         return self.is_following or self.lacks_store or silent_s > SILENT_S
 
+    def check_changes(self, page: records.Page) -> None:
+        """Start a list if one that may be outdated shows missed changes.
+
+        The answer of a watch may have been lost. A page that is not the whole
+        list can't tell.
+        """
+        is_newer = self.is_listed and page.as_of > self.as_of
+        if is_newer and not page.after and self._differs(page):
+            self.start()
+
     def apply_copy(
         self,
         copied: abc.Iterable[records.Record],
@@ -203,6 +213,18 @@
             return None
         return {name for as_of, name in self.changes if as_of > since}
 
+    def _differs(self, page: records.Page) -> bool:
+        listed = {record.name: record.revision for record in page.records}
+        rejected = {rejection.name for rejection in page.rejections}
+        known = {
+            record.name: record.revision for record in self.records.values()
+        }
+        return listed != {
+            name: revision
+            for name, revision in known.items()
+            if name in listed or name not in rejected
+        }
+
     def _advance(self, as_of: int, names: abc.Iterable[str]) -> None:
         self.as_of = max(self.as_of, as_of)
         self.changed_as_of = self.as_of
--- a/citronjunction/store/probing.py
+++ b/citronjunction/store/probing.py
@@ -5,11 +5,15 @@
 from citronjunction.store import records
 from citronjunction.transport import timer_queue
 
+Result = records.ReadResult | records.ListResult
 INTERVAL_S = 1.0  # a hanging watch alone would go unnoticed for longer
 
 
 class Probe:
-    """Read one object periodically with the cheapest call, unless paused."""
+    """Read one object periodically with the cheapest call, unless paused.
+
+    With ``short_kind``, list that kind instead, which must have few objects.
+    """
 
     __slots__ = (
         'get_answered_at',
@@ -18,6 +22,7 @@
         'kind',
         'name',
         'on_result',
+        'short_kind',
         'store',
         'timers',
     )
@@ -28,7 +33,7 @@
         timers: timer_queue.TimerQueue,
         kind: str,
         name: str,
-        on_result: abc.Callable[[records.ReadResult], None],
+        on_result: abc.Callable[[Result], None],
         get_answered_at: abc.Callable[[], float],
     ) -> None:
         """Set the object to read and the callback for results.
@@ -42,6 +47,7 @@
         self.name = name
         self.on_result = on_result
         self.get_answered_at = get_answered_at
+        self.short_kind = ''
         self.is_pending = False
         self.is_paused = False
 
@@ -55,8 +61,11 @@
         # A recent answer to another call shows as well that the store is up.
         if self.timers.now() - self.get_answered_at() >= INTERVAL_S:
             self.is_pending = True
-            self.store.read_stale(self.kind, self.name, self._on_read)
+            if self.short_kind:
+                self.store.list_stale(self.short_kind, self._on_read)
+            else:
+                self.store.read_stale(self.kind, self.name, self._on_read)
 
-    def _on_read(self, result: records.ReadResult) -> None:
+    def _on_read(self, result: Result) -> None:
         self.is_pending = False
         self.on_result(result)
--- a/citronjunction/store/records.py
+++ b/citronjunction/store/records.py
@@ -110,6 +110,9 @@
     def read_stale(self, kind: str, name: str, on_read: OnRead) -> None:
         """Read one object at less cost; it may be seconds out of date."""
 
+    def list_stale(self, kind: str, on_list: OnList) -> None:
+        """List the first page of a kind at less cost; it may be outdated."""
+
     def create(
         self,
         kind: str,
--- a/tests/evacuations/entries.py
+++ b/tests/evacuations/entries.py
@@ -135,8 +135,8 @@
     def list_page(self, kind, after, on_list):
         self._call(kind, lambda: self.store.list(kind), on_list)
 
-    def read_stale(self, kind, name, on_read):
-        self._call(kind, records.Absent, on_read)
+    def list_stale(self, kind, on_list):
+        self.list_page(kind, '', on_list)
 
     def watch(self, kind, revision, wait_s, on_watch):
         call = Call(
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -311,3 +311,35 @@
         KIND not in gateway.watcher.mirrors
         for gateway in system.gateways.values()
     )
+
+
+# Breaks EVAC: all watches were silent for up to their wait of 20 s.
+def test_an_order_whose_watch_answers_are_all_lost_is_heard(deployed):
+    deployed.store.watches.clear()
+    at = deployed.evacuate('z1')
+    deployed.load(8)
+
+    assert deployed.count_arrivals('z1', at + BOUND_S) == 0
+
+
+def test_standbys_make_no_calls_for_evacuations():
+    fleet = Deployed()
+    fleet.serving = 4
+    fleet.build(gateways=12).world.run(10)
+    watching = {
+        name
+        for name, gateway in fleet.gateways.items()
+        if not gateway.peers.roles.stands_by
+    }
+    senders = set()
+    handle = fleet.store.handle
+
+    def record(exchange):
+        address = exchange.connection.connection.peer_address
+        senders.add(address.rpartition(':')[0])
+        handle(exchange)
+
+    fleet.store.handle = record
+    fleet.world.run(10)
+
+    assert senders == watching
