Evacuations: a test of a stopped stream, and the entry in evacuations unknown

The test fails without the check in Flow.resume_at. The line evacuations unknown named a number as its subject, which says nothing; it names the entry now.

--- a/citronjunction/gateway/evacuating.py
+++ b/citronjunction/gateway/evacuating.py
@@ -75,7 +75,11 @@
             self._log_end(ended)
         bound_s = self.services.settings.evacuations.bound_ms / MS_PER_S
         if is_rest_known and self.state.assume_none(now, bound_s):
-            self.services.log.write('evacuations unknown', str(len(self.busy)))
+            self.services.log.write(
+                'evacuations unknown',
+                self.services.settings.process.name,
+                waited_s=bound_s,
+            )
         for zone in sorted(self.busy):
             if not self.services.fleet.count_running(zone):
                 self.busy.discard(zone)
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -236,6 +236,30 @@
     assert all(b't15' in answer.body for answer in answers)
 
 
+def test_a_stopped_stream_does_not_go_on_in_an_evacuated_data_centre():
+    system = Deployed()
+    engine = {'slots': 64, 'kvCapacity': 700000, 'moves': True}
+    system.configuration['services'][1]['engine'] = engine
+    system.configuration['routes'][2].update(timeoutMs=15000, attempts=1)
+    system.build(gateways=1)
+    for worker in system.workers.values():
+        worker.behaviour.event_count = 50
+        worker.behaviour.event_interval_s = 0.1
+        worker.move_status = 503  # the copy stays at the source
+    answer = system.send('/stream/x', method='POST', deadline_ms=15000)
+    system.world.run(0.5)
+    source = answer.headers['signature'].removeprefix('sig.')
+    at = system.evacuate(system.zones[source])
+    system.world.run(0.5)
+    system.workers[source].leaves_at = system.world.now + 2.4
+    system.set_state(source, 'draining')
+    system.world.run(6)
+
+    assert system.workers[source].moves
+    assert system.count_arrivals(system.zones[source], at) == 0
+    assert not answer.is_complete
+
+
 def test_retries_go_elsewhere(deployed):
     for name, worker in deployed.workers.items():
         if deployed.zones[name] == 'z2':
