--- a/citronjunction/gateway/admitting.py
+++ b/citronjunction/gateway/admitting.py
@@ -1,9 +1,10 @@
-"""Admission control: quotas and load shedding before the first attempt."""
+"""Admission control: quotas, load shedding, and upstreams without a worker."""
 
 from citronjunction.attempts import suspects
 from citronjunction.gateway import (
     choosing,
     context,
+    evidence,
     models,
     quotas,
     shedding,
@@ -99,3 +100,16 @@
     )
     delay_s = late.retry_after_s * (0.5 + services.random.random())
     return verdicts.NotRun(text, delay_s, code='overloaded')
+
+
+def describe_vacancy(
+    services: context.Services, upstream: str, now: float
+) -> tuple[evidence.AttemptFailure, float]:
+    """Return the failure of a request and the time until one may be served."""
+    workers = services.fleet
+    if workers.is_evacuated(upstream):
+        spread = 0.5 + services.random.random()
+        wait_s = spread * workers.evacuations.get_return_s(now)
+        return evidence.describe_evacuated(upstream), wait_s
+    wait_s = workers.get_least_wait_s(upstream, now)
+    return evidence.describe_no_worker(upstream, wait_s), wait_s
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -15,7 +15,6 @@
     recording,
     relocation,
     responses,
-    vacancies,
 )
 from citronjunction.transport import http_server, timer_queue
 from citronjunction.verdicts import models as verdicts
@@ -323,7 +322,9 @@
         is_shared = self.forwarded is None and workers.needs_peer(self.upstream)
         if is_shared and self._forward(now):
             return
-        failed, wait_s = vacancies.describe(self.services, self.upstream, now)
+        failed, wait_s = admitting.describe_vacancy(
+            self.services, self.upstream, now
+        )
         self._give_up(failed, wait_s)
 
     def _finish(self, failure: verdicts.Failure) -> None:
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -236,6 +236,30 @@
     assert all(b't15' in answer.body for answer in answers)
 
 
+def test_a_stopped_stream_does_not_go_on_in_an_evacuated_data_centre():
+    system = Deployed()
+    engine = {'slots': 64, 'kvCapacity': 700000, 'moves': True}
+    system.configuration['services'][1]['engine'] = engine
+    system.configuration['routes'][2].update(timeoutMs=15000, attempts=1)
+    system.build(gateways=1)
+    for worker in system.workers.values():
+        worker.behaviour.event_count = 50
+        worker.behaviour.event_interval_s = 0.1
+        worker.move_status = 503  # the copy stays at the source
+    answer = system.send('/stream/x', method='POST', deadline_ms=15000)
+    system.world.run(0.5)
+    source = answer.headers['signature'].removeprefix('sig.')
+    at = system.evacuate(system.zones[source])
+    system.world.run(0.5)
+    system.workers[source].leaves_at = system.world.now + 2.4
+    system.set_state(source, 'draining')
+    system.world.run(6)
+
+    assert system.workers[source].moves
+    assert system.count_arrivals(system.zones[source], at) == 0
+    assert not answer.is_complete
+
+
 def test_retries_go_elsewhere(deployed):
     for name, worker in deployed.workers.items():
         if deployed.zones[name] == 'z2':
@@ -311,3 +335,35 @@
         KIND not in gateway.watcher.mirrors
         for gateway in system.gateways.values()
     )
+
+
+# Breaks EVAC: all watches were silent for up to their wait of 20 s.
+def test_an_order_whose_watch_answers_are_all_lost_is_heard(deployed):
+    deployed.store.watches.clear()
+    at = deployed.evacuate('z1')
+    deployed.load(8)
+
+    assert deployed.count_arrivals('z1', at + BOUND_S) == 0
+
+
+def test_standbys_make_no_calls_for_evacuations():
+    fleet = Deployed()
+    fleet.serving = 4
+    fleet.build(gateways=12).world.run(10)
+    watching = {
+        name
+        for name, gateway in fleet.gateways.items()
+        if not gateway.peers.roles.stands_by
+    }
+    senders = set()
+    handle = fleet.store.handle
+
+    def record(exchange):
+        address = exchange.connection.connection.peer_address
+        senders.add(address.rpartition(':')[0])
+        handle(exchange)
+
+    fleet.store.handle = record
+    fleet.world.run(10)
+
+    assert senders == watching
