--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -278,3 +278,31 @@
     assert worker is None or worker.address
     assert decoded is None or isinstance(decoded.version, int)
     assert rollout is None or rollout.upstream
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'coldPerS': -1},
+        {'coldS': 'long'},
+        {'coldPerS': None},
+        {'coldS': float('nan')},
+        {'coldPerS': 1e9, 'coldS': 3},
+        {'coldS': 1e9},
+        {'coldPerS': True},
+    ],
+)
+# Unusable figures of one upstream must not cost the rest of a configuration.
+def test_unusable_figures_of_a_cold_start_are_left_out(fields):
+    services = [
+        {'name': 'one', 'maxConns': 3, **fields},
+        {'name': 'other', 'coldS': 3, 'coldPerS': 11.0},
+        {'name': 'plain'},
+    ]
+    decoded = configuration.decode({'version': 3, 'services': services})
+
+    upstreams = decoded.upstreams
+    assert upstreams['one'].cold_start is None
+    assert upstreams['one'].max_connections == 3
+    assert upstreams['other'].cold_start == models.ColdStart(3, 11)
+    assert upstreams['plain'].cold_start == models.NO_COLD_START
