--- a/citronjunction/gateway/counting.py
+++ b/citronjunction/gateway/counting.py
@@ -9,6 +9,7 @@
 
 # Loading the library during the startup would prolong that by a tenth.
 LOAD_DELAY_S = 3.0
+MAX_WORKER_LABELS = 1000
 MAX_PENDING = 20000  # records buffered until the library is loaded
 
 
@@ -42,19 +43,29 @@
     kind: str
 
 
-Event = RequestEnded | RequestRetried | KindSkipped | ObjectRejected
+@dataclasses.dataclass(slots=True, frozen=True)
+class ColdRequest:
+    """A request to a worker that is known to be cold."""
+
+    worker: str
+
+
+Event = (
+    RequestEnded | RequestRetried | KindSkipped | ObjectRejected | ColdRequest
+)
 
 
 class Counts:
     """Buffer records and pass them to the metrics once those are loaded."""
 
-    __slots__ = ('metrics', 'pending', 'process')
+    __slots__ = ('metrics', 'pending', 'process', 'workers')
 
     def __init__(self, process: str) -> None:
         """Set the process name that labels the metrics."""
         self.process = process
         self.pending: list[Event] = []
         self.metrics: 'metrics.Metrics | None' = None
+        self.workers: set[str] = set()  # that are a label
 
     def record(self, event: Event) -> None:
         """Record one event."""
@@ -92,3 +103,12 @@
                 self.metrics.skipped_kinds.add(1, {'kind': kind})
             case ObjectRejected(kind=kind):
                 self.metrics.rejected_objects.add(1, {'kind': kind})
+            case ColdRequest(worker=worker):
+                label = self._label_worker(worker)
+                self.metrics.cold_requests.add(1, {'worker': label})
+
+    def _label_worker(self, worker: str) -> str:
+        """Return a worker's label; late ones of very many share one."""
+        if len(self.workers) < MAX_WORKER_LABELS:
+            self.workers.add(worker)
+        return worker if worker in self.workers else 'others'
--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -6,6 +6,7 @@
     assigning,
     attempt,
     choosing,
+    counting,
     fleet,
     forwarding,
     models,
@@ -27,6 +28,10 @@
     new_attempt = _build(flow, worker)
     flow.history.sends += 1
     flow.services.fleet.record_send(worker, now)
+    if flow.services.fleet.is_cold(worker, now):
+        flow.services.counts.record(
+            counting.ColdRequest(worker.registration.name)
+        )
     if flow.request.prompt is not None:
         new_attempt.pending_prefill_tokens = candidate.prefill_tokens
         new_attempt.prefill_tokens = candidate.prefill_tokens
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -165,6 +165,17 @@
         cold_s = self.pacer.get_cold_s(worker.registration.upstream)
         worker.cold_until = max(worker.cold_until, now + cold_s)
 
+    def expect_cold_zone(self, zone: str, now: float) -> None:
+        """Assume that the workers of a data centre have just become cold."""
+        for worker in self.workers.values():
+            if worker.registration.zone == zone:
+                self.expect_cold(worker, now)
+
+    def is_cold(self, worker: Worker, now: float) -> bool:
+        """Return whether a worker of a paced upstream is known to be cold."""
+        is_paced = worker.registration.upstream in self.pacer.bounds
+        return is_paced and now < worker.cold_until
+
     def record_send(self, worker: Worker, now: float) -> None:
         """Count a request that this entry sends to a worker."""
         self.limits.record_send(worker.registration.start_key, now)
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -320,7 +320,17 @@
         known = services.fleet.workers.get(registration.name)
         before = known and known.registration
         was_draining = known is not None and known.is_draining
-        worker = services.fleet.register(registration, services.timers.now())
+        now = services.timers.now()
+        was_cold = known is not None and services.fleet.is_cold(known, now)
+        worker = services.fleet.register(registration, now)
+        if services.fleet.is_cold(worker, now) and not was_cold:
+            services.log.write(
+                'worker cold',
+                registration.name,
+                upstream=registration.upstream,
+                for_s=round(worker.cold_until - now, 3),
+                stated_s=registration.warmup_s,
+            )
         if worker.is_draining and not (worker is known and was_draining):
             services.observer.on_worker_draining(worker)
         if before is None or _is_changed(before, registration):
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -48,6 +48,10 @@
             'citron_rejected_objects',
             description='stored objects that could not be decoded',
         )
+        self.cold_requests = meter.create_counter(
+            'citron_cold_requests',
+            description='requests to workers that are known to be cold',
+        )
         self.first_token = meter.create_histogram(
             'citron_first_token',
             unit='s',
