--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -169,6 +169,11 @@
             return False
         return not self.pacer.has_share()
 
+    def is_cold(self, worker: Worker, now: float) -> bool:
+        """Return whether a worker of a paced upstream is known to be cold."""
+        is_paced = worker.registration.upstream in self.pacer.bounds
+        return is_paced and now < worker.cold_until
+
     def record_send(self, worker: Worker, now: float) -> None:
         """Count a request that this entry sends to a worker."""
         self.limits.record_send(worker.registration.start_key, now)
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -52,6 +52,10 @@
             'citron_evacuations',
             description='evacuations of data centres by change',
         )
+        self.cold_requests = meter.create_counter(
+            'citron_cold_requests',
+            description='requests to workers that are known to be cold',
+        )
         self.first_token = meter.create_histogram(
             'citron_first_token',
             unit='s',
