Transport: one budget of what callers' connections cost

Cause: each listener counted connections and bodies for itself; parsed heads, bytes behind a running request and unsent answers had no budget; a closed connection and its exchange referred to each other and kept their buffers until garbage was collected; connections to workers had no bound from the descriptors; requests sent ahead were run while earlier answers waited.

Slow accounts go first, then the costliest, with 408 or 503 while a request is received, else by a close. Requests whose worker may run them are not stopped. Small bodies and each listener have a reserve. The HTTP connection moves to a module of its own, what it parses to request_parser; both free their bytes when a request is passed on.

Changed tests: tests/transport/test_bodies.py imports bodies from its new package; virtual.Sockets gains count_open. The cases of test_crowds.py are unchanged, the marks are gone.

--- /dev/null
+++ b/citronjunction/budgeting/__init__.py
@@ -0,0 +1,1 @@
+"""One budget of the memory and connections that callers take."""
--- a/citronjunction/transport/bodies.py
+++ b/citronjunction/budgeting/bodies.py
@@ -5,6 +5,8 @@
 from citronjunction.conf import models
 
 NO_ROOM = 'the bodies of the requests in progress take all room'
+SMALL_BYTES = 16384
+SMALL_RESERVE = 0.125  # of ``max_bodies``, for small bodies beside large ones
 
 
 class BodyBudget:
@@ -23,7 +25,10 @@
         if size <= known:
             return True
         total = self.total - known + size
-        if total > self.settings.max_bodies and total > size:
+        limit = self.settings.max_bodies
+        if size <= SMALL_BYTES:
+            limit += int(limit * SMALL_RESERVE)
+        if total > limit and total > size:
             return False
         self.reserved[owner] = size
         self.total = total
--- a/citronjunction/commands/gateway.py
+++ b/citronjunction/commands/gateway.py
@@ -51,22 +51,33 @@
     )
     gateway = node.GatewayNode(loop, settings, adapter)
     listeners = settings.listeners
-    for address, application in (
+    for name, address, application in (
         (
+            'directory',
             listeners.directory,
             directory.Directory(
                 gateway.list_addresses,
                 settings.gateway.keep_addresses_s,
             ),
         ),
-        (listeners.readiness, directory.Readiness(gateway.is_ready)),
-        (listeners.metrics, scraping.build_routes(gateway.services.counts)),
+        (
+            'readiness',
+            listeners.readiness,
+            directory.Readiness(gateway.is_ready),
+        ),
+        (
+            'metrics',
+            listeners.metrics,
+            scraping.build_routes(gateway.services.counts),
+        ),
     ):
         server = http_server.HttpServer(
             loop.sockets,
             loop.timers,
             settings.http,
             application,
+            gateway.callers,
+            name,
         )
         server.listen(*node.split_address(address))
     loop.watch_reload(lambda: reload_settings(gateway, config))
--- a/citronjunction/conf/models.py
+++ b/citronjunction/conf/models.py
@@ -71,6 +71,17 @@
     max_bodies: Bytes = describe(
         'bytes of the bodies of all requests in progress', 67108864, 'bytes'
     )
+    max_cost: Bytes = describe(
+        'memory that connections of callers may take in all', 268435456, 'bytes'
+    )
+    max_fields: Count = describe('most fields of a request head', 4096)
+    max_address_connections: Count = describe(
+        'most open connections of one address', 1_000_000
+    )
+    max_sockets: Count = describe(
+        'open sockets of the process above which requests are refused',
+        1_000_000,
+    )
     idle_s: Seconds = describe(
         'time until an idle connection is closed', 75.0, 's'
     )
--- a/citronjunction/gateway/application.py
+++ b/citronjunction/gateway/application.py
@@ -37,6 +37,10 @@
             reason = f'no route for {request.path}'
             self._deny(exchange, request, NOT_FOUND, reason)
             return
+        if not exchange.has_socket():
+            reason = 'no descriptor is left for a connection to a worker'
+            self._refuse(exchange, request, reason, RETRY_AFTER_S)
+            return
         organisation = None
         if configuration.organisations and not route.is_public:
             name = configuration.keys.get(request.key)
--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -35,6 +35,9 @@
     def on_paced(self, source: 'Attempt', pace_s: float) -> None:
         """Evaluate the mean time between the first events."""
 
+    def on_buffered(self, source: 'Attempt', size: int) -> None:
+        """Account for the bytes of an answer that are kept."""
+
     def on_complete(self, source: 'Attempt') -> None:
         """Finish an answer that was relayed in parts."""
 
@@ -142,18 +145,9 @@
             self.owner.on_part(self, chunk)
             return
         self.buffer.extend(chunk)
-        if self.answer.is_success:
-            if len(self.buffer) > MAX_BUFFER_BYTES:
-                self._start(bytes(self.buffer))
-        elif len(self.buffer) > MAX_FAILURE_BYTES:
-            self.cancel()
-            self._fail(
-                evidence.Evidence.refused
-                if self.answer.is_refused
-                else evidence.Evidence.may_have_run,
-                f'a failure exceeds {MAX_FAILURE_BYTES} bytes',
-                'bad_answer',
-            )
+        self.owner.on_buffered(self, len(self.buffer))
+        if not self.is_over:
+            self._limit_buffer()
 
     def on_end(self) -> None:
         """Finish the answer or report it as a failure."""
@@ -197,6 +191,21 @@
         if self.call is not None:
             self.call.cancel()
 
+    def _limit_buffer(self) -> None:
+        """Relay a long answer in parts; give up a failure that is too long."""
+        if self.answer.is_success:
+            if len(self.buffer) > MAX_BUFFER_BYTES:
+                self._start(bytes(self.buffer))
+        elif len(self.buffer) > MAX_FAILURE_BYTES:
+            self.cancel()
+            self._fail(
+                evidence.Evidence.refused
+                if self.answer.is_refused
+                else evidence.Evidence.may_have_run,
+                f'a failure exceeds {MAX_FAILURE_BYTES} bytes',
+                'bad_answer',
+            )
+
     def _relay_events(self, chunk: bytes) -> None:
         try:
             complete_events = self.reader.feed(chunk)
--- a/citronjunction/gateway/counting.py
+++ b/citronjunction/gateway/counting.py
@@ -42,7 +42,16 @@
     kind: str
 
 
-Event = RequestEnded | RequestRetried | KindSkipped | ObjectRejected
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerEnded:
+    """A caller that was refused or cut off for a limit."""
+
+    limit: str
+
+
+Event = (
+    RequestEnded | RequestRetried | KindSkipped | ObjectRejected | CallerEnded
+)
 
 
 class Counts:
@@ -92,3 +101,5 @@
                 self.metrics.skipped_kinds.add(1, {'kind': kind})
             case ObjectRejected(kind=kind):
                 self.metrics.rejected_objects.add(1, {'kind': kind})
+            case CallerEnded(limit=limit):
+                self.metrics.ended_callers.add(1, {'limit': limit})
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -152,6 +152,10 @@
         """Record the pace of a stream as evidence about its version."""
         outcomes.record_pace(self.services, self.route, source, pace_s)
 
+    def on_buffered(self, source: attempt.Attempt, size: int) -> None:
+        """Account for what is kept of an answer; the caller may be cut off."""
+        self.response.exchange.hold(size)
+
     def on_complete(self, source: attempt.Attempt) -> None:
         """Finish an answer that was relayed in parts."""
         self._close_attempt(source, is_good=True)
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from citronjunction.budgeting import caller_log, ledger
+from citronjunction.budgeting import models as budgets
 from citronjunction.conf import models as conf
 from citronjunction.duties import (
     autoscaling,
@@ -140,6 +142,10 @@
             self.sharing.get_offered,
             self.log,
         )
+        self.callers = ledger.Ledger(settings.http)
+        self.callers.on_ended = caller_log.CallerLog(
+            self.log, timers.now, self._count_ended
+        ).report
         self.app = application.Application(
             self.services, self.peer_exchange.sources
         )
@@ -148,6 +154,8 @@
             timers,
             settings.http,
             self.app,
+            self.callers,
+            'callers',
         )
         self.stopper = stopping.Stopper(self)
         self.announcer = announcing.Announcer(self)
@@ -220,6 +228,9 @@
             self.services.quotas.doubt_past(self.loop.timers.now())
         self.peer_exchange.on_peer_version(fact.revision)
 
+    def _count_ended(self, ended: budgets.Ended) -> None:
+        self.services.counts.record(counting.CallerEnded(ended.limit.value))
+
     def _on_configuration(self) -> None:
         limits = self.services.configuration.limits
         http = self.settings.http
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -48,6 +48,10 @@
             'citron_rejected_objects',
             description='stored objects that could not be decoded',
         )
+        self.ended_callers = meter.create_counter(
+            'citron_ended_callers',
+            description='callers refused or cut off, by limit',
+        )
         self.first_token = meter.create_histogram(
             'citron_first_token',
             unit='s',
--- a/citronjunction/transport/framing.py
+++ b/citronjunction/transport/framing.py
@@ -1,10 +1,26 @@
 """Limits on the heads of messages, and on bytes beside their bodies."""
 
+import dataclasses
+
 import h11
 
 BAD_REQUEST = 400
 HEAD_TOO_LARGE = 431
 OVERHEAD_PER_BODY_BYTE = 16  # allows for chunks of one byte
+FIELD_BYTES = 400  # of memory that a parsed field takes beside its text
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Options:
+    """Describe what a head says about the connection and the body.
+
+    ``kept_bytes`` is the memory that the parsed head takes.
+    """
+
+    keeps_alive: bool
+    length: int
+    is_expecting: bool
+    kept_bytes: int
 
 
 def describe_excess(received: int, body: int, base: int) -> str:
@@ -32,3 +48,23 @@
     )
     if size > max_bytes:
         raise h11.RemoteProtocolError('request head too large', HEAD_TOO_LARGE)
+
+
+def check_fields(head: h11.Request, max_fields: int) -> None:
+    """Raise an error for a head of too many fields."""
+    if len(head.headers) > max_fields:
+        raise h11.RemoteProtocolError(
+            f'request head has more than {max_fields} fields', HEAD_TOO_LARGE
+        )
+
+
+def read_options(head: h11.Request) -> Options:
+    """Return what a head says about the connection and the body."""
+    headers = dict(head.headers)
+    connection_options = headers.get(b'connection', b'').lower()
+    return Options(
+        head.http_version == b'1.1' and b'close' not in connection_options,
+        int(headers.get(b'content-length', b'0')),
+        headers.get(b'expect', b'').lower() == b'100-continue',
+        FIELD_BYTES * len(head.headers) + len(head.target),
+    )
--- a/citronjunction/transport/http_server.py
+++ b/citronjunction/transport/http_server.py
@@ -4,23 +4,18 @@
 from collections import abc
 from typing import Protocol
 
-import h11
-from absl import logging
-
-from citronjunction.conf import models
+from citronjunction.budgeting import ledger, models
+from citronjunction.conf import models as conf
 from citronjunction.transport import (
-    bodies,
     encoding,
-    framing,
+    http_connection,
     sockets,
     timer_queue,
 )
 
 SWEEP_INTERVAL_S = 1.0  # between checks for idle connections
 STREAM_END = b'0\r\n\r\n'
-BODY_TOO_LARGE = 413
-INTERNAL_ERROR = 500
-UNAVAILABLE = 503
+UNAVAILABLE = http_connection.UNAVAILABLE
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -64,7 +59,7 @@
     def __init__(
         self,
         server: 'HttpServer',
-        connection: 'HttpConnection',
+        connection: http_connection.HttpConnection,
         request: Request,
     ) -> None:
         self.server = server
@@ -119,6 +114,18 @@
                 self.connection.send(STREAM_END)
             self._end()
 
+    def has_socket(self) -> bool:
+        """Return whether the request may open a connection to a server."""
+        server = self.server
+        return server.ledger.has_socket(
+            server.sockets.count_open(), server.timers.now()
+        )
+
+    def hold(self, size: int) -> None:
+        """Account for bytes of the answer that are not sent yet."""
+        if not self.connection.charge(models.Part.held, size):
+            self.connection.close('callers take all memory')
+
     def abort(self) -> None:
         """Close the connection; the caller sees an incomplete response."""
         if not self.is_done:
@@ -156,190 +163,6 @@
         self.connection.complete()
 
 
-class HttpConnection:
-    """Parse the requests on a caller's connection, one at a time."""
-
-    __slots__ = (
-        'body',
-        'connection',
-        'exchange',
-        'head',
-        'keeps_alive',
-        'parser',
-        'pipelined',
-        'received',
-        'server',
-        'started_at',
-    )
-
-    def __init__(
-        self, server: 'HttpServer', connection: sockets.Connection
-    ) -> None:
-        self.server = server
-        self.connection = connection
-        self.pipelined = bytearray()
-        self._reset()
-
-    def on_open(self) -> None:
-        """Do nothing: an accepted connection is already open."""
-
-    def on_bytes(self, chunk: bytes) -> None:
-        """Parse bytes, or buffer them while a response is pending."""
-        if self.exchange is not None:
-            self.pipelined.extend(chunk)
-            if len(self.pipelined) > self.server.settings.max_head:
-                self.close('more pipelined bytes than max_head')
-            return
-        if self.started_at is None:
-            self.started_at = self.server.timers.now()
-        self._parse(chunk)
-
-    def on_close(self, reason: str, was_open: bool) -> None:
-        """Report the caller's disconnect to the current exchange."""
-        self.server.connections.discard(self)
-        self.server.bodies.release(self)
-        if self.exchange is not None:
-            self.exchange.handle_disconnect()
-
-    def send(self, chunk: bytes) -> None:
-        """Send bytes to the caller."""
-        self.server.sockets.send(self.connection, chunk)
-
-    def close(self, reason: str) -> None:
-        """Close the connection now."""
-        self.server.sockets.close(self.connection, reason)
-
-    @property
-    def is_closing(self) -> bool:
-        """Return whether the connection closes after the response."""
-        return not self.keeps_alive or self.server.is_closing
-
-    def complete(self) -> None:
-        """Close the connection or start on its next request."""
-        if self.is_closing:
-            self.server.sockets.finish(self.connection)
-            return
-        self._reset()
-        if self.pipelined:
-            chunk = bytes(self.pipelined)
-            self.pipelined.clear()
-            self.server.timers.call_later(0, lambda: self.on_bytes(chunk))
-
-    def is_overdue(self, now: float) -> bool:
-        """Return whether a request takes too long or the connection is idle."""
-        settings = self.server.settings
-        if self.exchange is not None:
-            return False
-        if self.started_at is not None:
-            return now - self.started_at > settings.receive_s
-        return now - self.connection.active_at > settings.idle_s
-
-    def _reset(self) -> None:
-        self.parser = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self.server.settings.max_head,
-        )
-        self.head: h11.Request | None = None
-        self.server.bodies.release(self)
-        self.body = bytearray()
-        self.received = 0
-        self.exchange: Exchange | None = None
-        self.keeps_alive = True
-        self.started_at: float | None = None
-
-    def _parse(self, chunk: bytes) -> None:
-        self.parser.receive_data(chunk)
-        self.received += len(chunk)
-        try:
-            self._process_events()
-            self._check_overhead()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
-
-    def _process_events(self) -> None:
-        while self.exchange is None:
-            match self.parser.next_event():
-                case h11.Request() as head:
-                    self._receive_head(head)
-                case h11.Data(data=chunk):
-                    self._receive_body(chunk)
-                case h11.EndOfMessage():
-                    self._dispatch()
-                case _:
-                    return
-
-    def _check_overhead(self) -> None:
-        """Reject a request with more bytes beside its body than it needs."""
-        if self.exchange is not None:
-            return
-        # The head and the trailers may each be as large as a head.
-        base = 2 * self.server.settings.max_head
-        excess = framing.describe_excess(self.received, len(self.body), base)
-        if excess:
-            self._reject(framing.BAD_REQUEST, excess)
-
-    def _receive_head(self, head: h11.Request) -> None:
-        framing.check_head(head, self.server.settings.max_head)
-        self.head = head
-        headers = dict(head.headers)
-        connection_options = headers.get(b'connection', b'').lower()
-        self.keeps_alive = (
-            head.http_version == b'1.1' and b'close' not in connection_options
-        )
-        length = int(headers.get(b'content-length', b'0'))
-        is_expecting = headers.get(b'expect', b'').lower() == b'100-continue'
-        if self._admit_body(length) and is_expecting:
-            self.send(b'HTTP/1.1 100 Continue\r\n\r\n')
-
-    def _receive_body(self, chunk: bytes) -> None:
-        self.body.extend(chunk)
-        self._admit_body(len(self.body))
-
-    def _admit_body(self, size: int) -> bool:
-        """Reject a body for which there is no room; return whether there is."""
-        limit = self.server.settings.max_body
-        if size > limit:
-            self._reject(BODY_TOO_LARGE, f'request body exceeds {limit} bytes')
-        elif not self.server.bodies.reserve(self, size):
-            self._reject(UNAVAILABLE, bodies.NO_ROOM)
-        return self.exchange is None
-
-    def _dispatch(self) -> None:
-        trailing, _ = self.parser.trailing_data
-        self.pipelined.extend(trailing)
-        request = self._build_request()
-        self.body = bytearray()
-        self.started_at = None
-        self.exchange = Exchange(self.server, self, request)
-        try:
-            self.server.application.handle(self.exchange)
-        except Exception as error:
-            logging.exception('request handler failed: %s', error)
-            reason = 'internal error'
-            self.server.application.reject(
-                self.exchange, INTERNAL_ERROR, reason
-            )
-
-    def _build_request(self) -> Request:
-        if self.head is None:
-            return Request('GET', '/', '', {}, b'')
-        target = self.head.target.decode('latin-1')
-        path, _, query = target.partition('?')
-        return Request(
-            self.head.method.decode('latin-1'),
-            path,
-            query,
-            encoding.decode_headers(self.head.headers),
-            bytes(self.body),
-            self.started_at or self.server.timers.now(),
-        )
-
-    def _reject(self, status: int, reason: str) -> None:
-        self.keeps_alive = False
-        self.exchange = Exchange(self.server, self, self._build_request())
-        self.server.application.reject(self.exchange, status, reason)
-
-
 class HttpServer:
     """Serve HTTP requests with an application."""
 
@@ -347,16 +170,21 @@
         self,
         process_sockets: sockets.Sockets,
         timers: timer_queue.TimerQueue,
-        settings: models.Http,
+        settings: conf.Http,
         application: Application,
+        callers: ledger.Ledger | None = None,
+        name: str = '',
     ) -> None:
+        """Account for callers by name in a ledger that servers may share."""
         self.sockets = process_sockets
         self.timers = timers
         self.settings = settings
         self.application = application
-        self.connections: set[HttpConnection] = set()
-        self.bodies = bodies.BodyBudget(settings)
+        self.connections: set[http_connection.HttpConnection] = set()
+        self.ledger = callers or ledger.Ledger(settings)
+        self.bodies = self.ledger.bodies
         self.is_closing = False
+        self.name = name
         self.port = 0
         timers.call_every(SWEEP_INTERVAL_S, self._sweep)
 
@@ -365,17 +193,43 @@
         self.port = self.sockets.listen(address, port, self.accept)
         return self.port
 
-    def accept(self, connection: sockets.Connection) -> HttpConnection:
+    def accept(
+        self, connection: sockets.Connection
+    ) -> http_connection.HttpConnection:
         """Serve an accepted connection; it is closed if there are too many."""
         connection.max_unsent = self.settings.max_unsent
-        receiver = HttpConnection(self, connection)
-        self.connections.add(receiver)
-        if len(self.connections) > self.settings.max_connections:
+        receiver = http_connection.HttpConnection(self, connection)
+        address = connection.peer_address.rpartition(':')[0]
+        now = self.timers.now()
+        account = self.ledger.open(self.name, address, receiver.evict, now)
+        receiver.account = account or models.Account('', '', receiver.evict, 0)
+        if account is None:
+            receiver.account.is_open = False
             self.timers.call_later(
                 0, lambda: receiver.close('too many connections')
             )
+        connection.on_unsent = receiver.on_unsent
+        self.connections.add(receiver)
         return receiver
 
+    def open_exchange(
+        self, receiver: http_connection.HttpConnection, body: bytes
+    ) -> Exchange:
+        """Return the exchange of the request that a connection has received."""
+        head = receiver.parser.head
+        request = Request('GET', '/', '', {}, b'')
+        if head is not None:
+            path, _, query = head.target.decode('latin-1').partition('?')
+            request = Request(
+                head.method.decode('latin-1'),
+                path,
+                query,
+                encoding.decode_headers(head.headers),
+                body,
+                receiver.started_at or self.timers.now(),
+            )
+        return Exchange(self, receiver, request)
+
     def count_unsent(self) -> int:
         """Return the number of connections with bytes that wait to be sent."""
         return sum(
--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -46,7 +46,8 @@
     """Store the state of a socket; times are monotonic seconds.
 
     ``active_at`` is when it opened or last sent or received bytes. There is no
-    socket if the system could not provide one.
+    socket if the system could not provide one. ``on_unsent`` receives the number
+    of unsent bytes as it changes.
     """
 
     sock: socket.socket | None
@@ -59,6 +60,12 @@
     is_finishing: bool = False
     active_at: float = 0
     connect_timer: timer_queue.Timer | None = None
+    on_unsent: abc.Callable[[int], None] | None = None
+
+    def report_unsent(self) -> None:
+        """Report the number of unsent bytes."""
+        if self.on_unsent is not None:
+            self.on_unsent(len(self.unsent))
 
 
 OnAccept = abc.Callable[[Connection], Receiver]
@@ -128,6 +135,10 @@
             self.poller.addWriter(self, connection.sock)
             self._buffer_unsent(connection, chunk[sent:])
 
+    def count_open(self) -> int:
+        """Return the number of open sockets."""
+        return len(self.connections) + len(self.listeners)
+
     def finish(self, connection: Connection) -> None:
         """Close a connection once its buffered bytes are sent."""
         if connection.unsent:
@@ -147,6 +158,7 @@
             self.connections.pop(connection.sock, None)
             connection.sock.close()
         connection.unsent.clear()
+        connection.on_unsent = None
         if connection.receiver is not None:
             connection.receiver.on_close(reason, connection.is_open)
 
@@ -170,6 +182,7 @@
         connection.unsent.extend(chunk)
         if len(connection.unsent) > connection.max_unsent:
             self._close_later(connection, 'peer reads too slowly')
+        connection.report_unsent()
 
     def _close_later(self, connection: Connection, reason: str) -> None:
         self.timers.call_later(0, lambda: self.close(connection, reason))
@@ -243,11 +256,12 @@
                 return
             del connection.unsent[:sent]
             connection.active_at = self.timers.now()
-        if connection.unsent:
-            return
-        self.poller.removeWriter(connection.sock)
-        if connection.is_finishing:
-            self.close(connection, 'finished')
+        if not connection.unsent:
+            self.poller.removeWriter(connection.sock)
+            if connection.is_finishing:
+                self.close(connection, 'finished')
+                return
+        connection.report_unsent()
 
     def _accept(self, listener: socket.socket) -> None:
         accept = self.listeners[listener]
--- a/tests/budgeting/test_crowds.py
+++ b/tests/budgeting/test_crowds.py
@@ -17,50 +17,6 @@
     'every': ('data', 'unrouted', 'ready', 'directory'),
 }
 ORDINARY_BODY = bytes(1024)
-# Listed in KNOWN-RED.txt, one line each.
-KNOWN_RED = (
-    'send_chunked_bodies-every',
-    'send_bodies_far_over-every',
-    'send_short_fields-data',
-    'send_short_fields-unrouted',
-    'send_short_fields-ready',
-    'send_short_fields-every',
-    'send_short_parameters-every',
-    'send_chunk_extensions-every',
-    'send_trailers-every',
-    'send_ahead-data',
-    'send_ahead-every',
-    'send_slowly-data',
-    'send_slowly-unrouted',
-    'send_slowly-ready',
-    'send_slowly-every',
-    'read_slowly-data',
-    'read_slowly-every',
-    'stop_half_way-data',
-    'stop_half_way-every',
-)
-# Fail in some runs; they depend on when garbage is collected.
-KNOWN_UNSTEADY = (
-    'send_chunked_bodies-unrouted',
-    'send_bodies_far_over-data',
-    'send_bodies_far_over-unrouted',
-    'send_bodies_far_over-ready',
-)
-
-
-def _list_cases():
-    for pattern in crowds.PATTERNS:
-        for doors in DOORS:
-            case = f'{pattern.__name__}-{doors}'
-            marks = []
-            if case in KNOWN_RED or case in KNOWN_UNSTEADY:
-                marks.append(
-                    pytest.mark.xfail(
-                        reason=f'KNOWN-RED.txt: {case}',
-                        strict=case in KNOWN_RED,
-                    )
-                )
-            yield pytest.param(pattern, doors, id=case, marks=marks)
 
 
 @pytest.fixture(autouse=True)
@@ -69,7 +25,10 @@
         yield
 
 
-@pytest.mark.parametrize('pattern, doors', _list_cases())
+@pytest.mark.parametrize('doors', DOORS)
+@pytest.mark.parametrize(
+    'pattern', crowds.PATTERNS, ids=lambda pattern: pattern.__name__
+)
 def test_a_process_outlives_the_crowd_and_serves_others(
     pattern, doors, tmp_path
 ):
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -163,6 +163,9 @@
         connection.active_at = self.world.now
         self._to_remote(connection, lambda remote: remote.deliver(bytes(chunk)))
 
+    def count_open(self):
+        return 0
+
     def finish(self, connection):
         self.close(connection, 'finished')
 
--- a/tests/transport/test_bodies.py
+++ b/tests/transport/test_bodies.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from citronjunction.budgeting import bodies
 from citronjunction.conf import budgets, models
 from citronjunction.gateway import models as gateway_models
-from citronjunction.transport import bodies, http_client, http_server
+from citronjunction.transport import http_client, http_server
 from tests.support import platform_system
 
 BODY_BYTES = 100_000
