Transport: the time that a worker takes is not its caller's

An answer that begins to arrive begins a step of its own; else a caller whose worker took seconds counted as slow and went first above the budget. A test shows that the next request on a connection waits for the answer before it.

--- a/citronjunction/transport/http_connection.py
+++ b/citronjunction/transport/http_connection.py
@@ -84,6 +84,17 @@
             self._reject(status, f'callers take all room ({ended.limit.value})')
         self.close(f'evicted: {ended.limit.value}')
 
+    def hold(self, size: int) -> None:
+        """Account for the bytes of an answer that come before it is sent."""
+        account = self.account
+        previous = account.parts[models.Part.held]
+        if not previous:
+            # The time that a worker took is not the caller's.
+            account.begin_step(self.server.timers.now())
+        account.moved += max(0, size - previous)
+        if not self.charge(models.Part.held, size):
+            self.close('callers take all memory')
+
     def on_unsent(self, size: int) -> None:
         """Account for the bytes that the caller has not read."""
         now = self.server.timers.now()
--- a/citronjunction/transport/http_server.py
+++ b/citronjunction/transport/http_server.py
@@ -123,8 +123,7 @@
 
     def hold(self, size: int) -> None:
         """Account for bytes of the answer that are not sent yet."""
-        if not self.connection.charge(models.Part.held, size):
-            self.connection.close('callers take all memory')
+        self.connection.hold(size)
 
     def abort(self) -> None:
         """Close the connection; the caller sees an incomplete response."""
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -155,3 +155,24 @@
                 pass
             sock.sendall(b'x' * 4096)
             assert live.read_all(sock) == b''
+
+
+# Guards against memory: all answers waited for a caller that reads none.
+def test_the_next_request_waits_until_the_answer_before_it_is_read(application):
+    with live.serve(application, max_unsent=1 << 24) as (port, _):
+        application.handle = _pad(application)
+        with live.connect(port) as sock:
+            sock.sendall(get(b'/first') + get(b'/second', CLOSE))
+            while '/first' not in application.handled:
+                pass
+            assert live.ask(port, get(b'/other', CLOSE))
+            assert '/second' not in application.handled
+            assert live.read_all(sock).count(b'HTTP/1.1 200') == 2
+
+
+def _pad(application):
+    def handle(exchange):
+        application.handled.append(exchange.request.path)
+        exchange.respond(200, {}, bytes(6_000_000))
+
+    return handle
