--- a/citronjunction/gateway/counting.py
+++ b/citronjunction/gateway/counting.py
@@ -57,6 +57,13 @@
     worker: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerEnded:
+    """A caller that was refused or cut off for a limit."""
+
+    limit: str
+
+
 Event = (
     RequestEnded
     | RequestRetried
@@ -64,6 +71,7 @@
     | ObjectRejected
     | EvacuationChanged
     | ColdRequest
+    | CallerEnded
 )
 
 
@@ -120,6 +128,8 @@
             case ColdRequest(worker=worker):
                 label = self._label_worker(worker)
                 self.metrics.cold_requests.add(1, {'worker': label})
+            case CallerEnded(limit=limit):
+                self.metrics.ended_callers.add(1, {'limit': limit})
 
     def _label_worker(self, worker: str) -> str:
         """Return a worker's label; late ones of very many share one."""
--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -57,6 +57,14 @@
     send(flow, choosing.Candidate(worker, 0, 0, 0), now, kv_source)
 
 
+def try_peer(flow: 'flows.Flow', now: float) -> bool:
+    """Forward a request; return whether there is a peer that gets it."""
+    peer = flow.services.forwarder.choose(flow.upstream, flow.tried, now)
+    if peer is not None:
+        forward(flow, peer, now)
+    return peer is not None
+
+
 def forward(flow: 'flows.Flow', peer: fleet.Worker, now: float) -> None:
     """Forward a request to a peer, which may use up its remaining sends."""
     new_attempt = _build(flow, peer)
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -152,6 +152,10 @@
         """Record the pace of a stream as evidence about its version."""
         outcomes.record_pace(self.services, self.route, source, pace_s)
 
+    def on_buffered(self, source: attempt.Attempt, size: int) -> None:
+        """Account for what is kept of an answer; the caller may be cut off."""
+        self.response.exchange.hold(size)
+
     def on_complete(self, source: attempt.Attempt) -> None:
         """Finish an answer that was relayed in parts."""
         self._close_attempt(source, is_good=True)
@@ -280,15 +284,7 @@
             self.upstream, connect_failures
         ):
             return False
-        return self._forward(now)
-
-    def _forward(self, now: float) -> bool:
-        """Forward the request; return whether a peer gets it."""
-        forwarder = self.services.forwarder
-        peer = forwarder.choose(self.upstream, self.tried, now)
-        if peer is not None:
-            dispatching.forward(self, peer, now)
-        return peer is not None
+        return dispatching.try_peer(self, now)
 
     def _try_again(self, failed: evidence.AttemptFailure) -> bool:
         now = self.services.timers.now()
@@ -320,7 +316,7 @@
         """Leave a request to a peer with a share of the workers, or give up."""
         workers = self.services.fleet
         is_shared = self.forwarded is None and workers.needs_peer(self.upstream)
-        if is_shared and self._forward(now):
+        if is_shared and dispatching.try_peer(self, now):
             return
         failed, wait_s = admitting.describe_vacancy(
             self.services, self.upstream, now
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -56,6 +56,10 @@
             'citron_cold_requests',
             description='requests to workers that are known to be cold',
         )
+        self.ended_callers = meter.create_counter(
+            'citron_ended_callers',
+            description='callers refused or cut off, by limit',
+        )
         self.first_token = meter.create_histogram(
             'citron_first_token',
             unit='s',
