Rooms: choose and shed by slots, times held and slowdowns

Change: citronjunction/rooms models slots, times held, slowdowns and returns; load reports carry requests without a first event and slowdowns behind the figures that earlier builds read; attempts that can't end before their deadline are not made.

--- a/citronjunction/gateway/admitting.py
+++ b/citronjunction/gateway/admitting.py
@@ -6,8 +6,10 @@
     context,
     models,
     quotas,
+    recording,
     shedding,
 )
+from citronjunction.rooms import returning
 from citronjunction.verdicts import models as verdicts
 
 OVER_QUOTA = 429  # HTTP status
@@ -88,14 +90,39 @@
     services: context.Services,
     route: models.Route,
     candidate: choosing.Candidate,
+    left_s: float,
 ) -> verdicts.NotRun | None:
-    """Return a refusal for a prompt that would queue too long."""
+    """Return a refusal for a prompt that would queue too long.
+
+    ``left_s`` is the caller's time left.
+    """
     late = shedding.check_queue(route.latency_target_s, candidate.queue_s)
     if late is None:
         return None
+    upstream = candidate.worker.registration.upstream
     text = (
         f'prompts wait {late.queue_s:.2f} s at the best worker of'
-        f' {candidate.worker.registration.upstream}, over {late.limit_s:.2f} s'
+        f' {upstream}, over {late.limit_s:.2f} s'
     )
-    delay_s = late.retry_after_s * (0.5 + services.random.random())
+    delay_s = _schedule_return(services, upstream, late.retry_after_s, left_s)
+    recording.record_shed(services, route, candidate, delay_s)
     return verdicts.NotRun(text, delay_s, code='overloaded')
+
+
+def _schedule_return(
+    services: context.Services, upstream: str, wait_s: float, left_s: float
+) -> float:
+    now = services.timers.now()
+    room = services.chooser.rooms.get(upstream)
+    slots = sum(
+        worker.registration.slots
+        for worker in services.fleet.select_admitting(upstream, now)
+    )
+    refusal = returning.Refusal(
+        wait_s,
+        room.times.held.value_s,
+        left_s,
+        slots / max(1, services.count_budget_entries()),
+        services.random.random(),
+    )
+    return room.returns.schedule(refusal, now)
--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -58,7 +58,7 @@
     ``prefill_tokens`` are the prompt tokens that the worker must process for
     the request, ``stall_s`` is how long a stream may send bytes without a new
     event, ``pending_prefill_tokens`` the same until the first event and 0
-    after it.
+    after it; ``is_waiting`` is true for a prompt until then.
     """
 
     __slots__ = (
@@ -72,6 +72,7 @@
         'is_over',
         'is_started',
         'is_stream',
+        'is_waiting',
         'owner',
         'pace',
         'pending_prefill_tokens',
@@ -109,6 +110,7 @@
         self.first_byte_at: float | None = None
         self.pending_prefill_tokens = 0
         self.prefill_tokens = 0
+        self.is_waiting = False
         self.is_started = False
         self.is_over = False
 
--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -7,6 +7,7 @@
 
 from citronjunction.gateway import fleet, models
 from citronjunction.membership import topology
+from citronjunction.rooms import estimates
 
 # The published prefill rate is 68.2 tokens/ms in chunks of 2048 tokens. Each
 # chunk includes a decode step of 3.82 ms for the running requests. Attention is
@@ -23,6 +24,8 @@
 SECOND_CHOICE_PENALTY_S = 0.1
 OTHER_ZONE_PENALTY_S = 0.002  # prefers workers of the entry's own data centre
 WARMUP_PENALTY_S = 0.2  # for a worker that is still slow after its start
+# Part of an answer after its first event that a slow spell may delay.
+SLOW_REST_S = 0.1
 # Makes a worker whose registration vanished the last choice.
 ABSENT_PENALTY_S = 5.0
 
@@ -32,20 +35,22 @@
     """Describe a selected worker and the expected delay of a request there.
 
     ``wait_s`` is the expected time to the first event, ``queue_s`` the part of
-    it that queued prompts of at least the same urgency use. ``prefill_tokens``
-    are the prompt tokens that the worker must process.
+    it that requests of at least the same urgency use, and ``slot_wait_s`` the
+    part of that until a slot is free. ``prefill_tokens`` are the prompt tokens
+    that the worker must process.
     """
 
     worker: fleet.Worker
     wait_s: float
     queue_s: float
     prefill_tokens: int
+    slot_wait_s: float = 0
 
 
 class Chooser:
     """Choose workers by expected wait, cached prefixes and data centre."""
 
-    __slots__ = ('fleet', 'random', 'zone')
+    __slots__ = ('fleet', 'random', 'rooms', 'zone')
 
     def __init__(
         self,
@@ -56,6 +61,7 @@
         self.fleet = workers
         self.zone = zone
         self.random = source
+        self.rooms = estimates.Rooms()
 
     def choose(
         self,
@@ -75,7 +81,8 @@
             return None
         if prompt is None:
             return self._choose_plain(usable, now)
-        return self._choose_for_prompt(usable, prompt, urgency, now)
+        held_s = self.rooms.get(upstream).times.held.value_s
+        return self._choose_for_prompt(usable, prompt, urgency, held_s, now)
 
     def _select(
         self,
@@ -110,8 +117,11 @@
         now: float,
     ) -> tuple[float, bool, float]:
         load = worker.total_running / worker.registration.slots
+        slowdown = worker.slowdown.measure(now)
         return (
-            load + self._get_penalty_s(worker, now),
+            load * slowdown
+            + (slowdown - 1) * SLOW_REST_S
+            + self._get_penalty_s(worker, now),
             worker.registration.zone != self.zone,
             self.random.random(),
         )
@@ -121,6 +131,7 @@
         usable: list[fleet.Worker],
         prompt: models.Prompt,
         urgency: int,
+        held_s: float,
         now: float,
     ) -> Candidate:
         ranked = rank_by_affinity(prompt.affinity_key, usable)
@@ -132,9 +143,15 @@
             prefill_ahead = worker.count_prefill_tokens(
                 fleet.URGENCY_GROUPS - 1
             )
-            wait_s = prefill_ahead / PREFILL_TOKENS_PER_S
+            slot_wait_s = estimates.estimate_slot_wait_s(
+                worker.measure_occupancy(urgency), held_s
+            )
+            # Requests that wait for a slot also wait for their prefill.
+            wait_s = max(prefill_ahead / PREFILL_TOKENS_PER_S, slot_wait_s)
             wait_s += self._estimate_prefill_s(worker, prompt, now)
-            cost_s = wait_s
+            slowdown = worker.slowdown.measure(now)
+            wait_s *= slowdown
+            cost_s = wait_s + (slowdown - 1) * SLOW_REST_S
             prefill_tokens = prompt.prompt_tokens
             if order < 2:
                 prefill_tokens -= prompt.shared_tokens
@@ -149,7 +166,13 @@
                 queue_s = (
                     worker.count_prefill_tokens(urgency) / PREFILL_TOKENS_PER_S
                 )
-                best = Candidate(worker, wait_s, queue_s, prefill_tokens)
+                best = Candidate(
+                    worker,
+                    wait_s,
+                    max(queue_s, slot_wait_s),
+                    prefill_tokens,
+                    slot_wait_s,
+                )
                 best_cost_s = cost_s
         return best
 
--- a/citronjunction/gateway/context.py
+++ b/citronjunction/gateway/context.py
@@ -109,6 +109,8 @@
     ) -> None:
         """Count a caller's request to an upstream and its prompt tokens."""
         self.get_budget(upstream).record_request(now)
+        if prompt is not None:
+            self.chooser.rooms.get(upstream).returns.rate.record(now)
         tokens = prompt.prompt_tokens if prompt else 1
         self.offered[upstream] = self.offered.get(upstream, 0) + tokens
 
--- a/citronjunction/gateway/counting.py
+++ b/citronjunction/gateway/counting.py
@@ -42,7 +42,30 @@
     kind: str
 
 
-Event = RequestEnded | RequestRetried | KindSkipped | ObjectRejected
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestShed:
+    """A refusal for want of room; ``cause`` is what is short."""
+
+    cause: str
+    rank: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SlotAwaited:
+    """An expected wait for a slot of a request that was sent."""
+
+    wait_s: float
+    urgency: str
+
+
+Event = (
+    RequestEnded
+    | RequestRetried
+    | KindSkipped
+    | ObjectRejected
+    | RequestShed
+    | SlotAwaited
+)
 
 
 class Counts:
@@ -88,6 +111,10 @@
                 self.metrics.request_duration.record(seconds, labels)
             case RequestRetried(evidence=evidence):
                 self.metrics.retries.add(1, {'evidence': evidence})
+            case RequestShed(cause=cause, rank=rank):
+                self.metrics.shed.add(1, {'cause': cause, 'rank': rank})
+            case SlotAwaited(wait_s=seconds, urgency=urgency):
+                self.metrics.slot_wait.record(seconds, {'urgency': urgency})
             case KindSkipped(kind=kind):
                 self.metrics.skipped_kinds.add(1, {'kind': kind})
             case ObjectRejected(kind=kind):
--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -11,6 +11,7 @@
     models,
     recording,
 )
+from citronjunction.rooms import estimates
 
 if TYPE_CHECKING:
     from citronjunction.gateway import flow as flows
@@ -31,6 +32,9 @@
         new_attempt.pending_prefill_tokens = candidate.prefill_tokens
         new_attempt.prefill_tokens = candidate.prefill_tokens
         worker.prefill_tokens[flow.urgency] += candidate.prefill_tokens
+        new_attempt.is_waiting = True
+        worker.waiting[flow.urgency] += 1
+        recording.record_send(flow, candidate)
     call = flow.services.codec.encode_call(
         flow.request,
         assigning.build_assignment(
@@ -45,6 +49,16 @@
     new_attempt.call = flow.services.client.send(call, new_attempt)
 
 
+def can_end(
+    flow: 'flows.Flow', candidate: choosing.Candidate, now: float
+) -> bool:
+    """Return whether an attempt may end before the deadline."""
+    room = flow.services.chooser.rooms.get(flow.upstream)
+    return flow.request.prompt is None or estimates.can_end(
+        room, flow.route.name, candidate.slot_wait_s, flow.deadline_at - now
+    )
+
+
 def resume(
     flow: 'flows.Flow', worker: fleet.Worker, now: float, kv_source: str
 ) -> None:
--- a/citronjunction/gateway/evidence.py
+++ b/citronjunction/gateway/evidence.py
@@ -50,6 +50,15 @@
     return AttemptFailure(Evidence.refused, reason, 'no_worker')
 
 
+def describe_short_time(upstream: str) -> AttemptFailure:
+    """Return the failure of a request that can't end before its deadline."""
+    return AttemptFailure(
+        Evidence.refused,
+        f'an answer of {upstream} takes longer than the time left',
+        'too_late',
+    )
+
+
 def describe_peer_refusal(
     entry: str, status: int, retry_after_s: float
 ) -> AttemptFailure:
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -10,13 +10,15 @@
     limits,
     models,
 )
+from citronjunction.rooms import models as rooms
+from citronjunction.rooms import reports, slowdowns
 
 # Time for which a worker is still used after its registration vanished; must
 # stay below the time within which a draining worker has to be out of use.
 ABSENT_GRACE_S = 1.4
 # Time after a store outage in which lapsed registrations may return.
 OUTAGE_GRACE_S = 2.2
-URGENCY_GROUPS = 3  # rank 0, rank 1 and all other ranks
+URGENCY_GROUPS = reports.URGENCY_GROUPS
 
 
 def get_urgency(rank: int) -> int:
@@ -24,18 +26,15 @@
     return max(0, min(rank, URGENCY_GROUPS - 1))
 
 
-def _build_zero_tokens() -> list[int]:
-    return [0 for _ in range(URGENCY_GROUPS)]
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class Worker:
     """Store a worker's registration, load and health.
 
     ``running`` counts this entry's requests at the worker, ``prefill_tokens``
-    are the prompt tokens of those without a first event, by urgency group.
-    ``peer_running`` and ``peer_prefill_tokens`` are the same for the other
-    entries, as last reported. ``warming_until`` is in monotonic seconds, and so
+    are the prompt tokens of those without a first event, by urgency group, and
+    ``waiting`` is their number. ``peer_running``, ``peer_prefill_tokens`` and
+    ``peer_waiting`` are the same for the other entries, as last reported.
+    ``warming_until`` is in monotonic seconds, and so
     is ``paused_until``, before which the worker wants no request of this entry.
     ``is_leaving`` means that its answers say that it will end, ``is_peer`` that
     this is another entry, to which requests are forwarded. ``heard_at`` is when
@@ -46,11 +45,18 @@
     health: health.Health
     running: int = 0
     prefill_tokens: list[int] = dataclasses.field(
-        default_factory=_build_zero_tokens
+        default_factory=reports.build_zeros
     )
+    waiting: list[int] = dataclasses.field(default_factory=reports.build_zeros)
     peer_running: int = 0
     peer_prefill_tokens: list[int] = dataclasses.field(
-        default_factory=_build_zero_tokens
+        default_factory=reports.build_zeros
+    )
+    peer_waiting: list[int] = dataclasses.field(
+        default_factory=reports.build_zeros
+    )
+    slowdown: slowdowns.Slowdown = dataclasses.field(
+        default_factory=slowdowns.Slowdown
     )
     is_retired: bool = False
     is_leaving: bool = False
@@ -83,6 +89,16 @@
         own = sum(self.prefill_tokens[: urgency + 1])
         return own + sum(self.peer_prefill_tokens[: urgency + 1])
 
+    def measure_occupancy(self, urgency: int) -> rooms.Occupancy:
+        """Return what competes for slots with a request of an urgency."""
+        ahead = sum(self.waiting[: urgency + 1])
+        return rooms.Occupancy(
+            self.registration.slots,
+            self.total_running,
+            sum(self.waiting) + sum(self.peer_waiting),
+            ahead + sum(self.peer_waiting[: urgency + 1]),
+        )
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Departure:
@@ -251,29 +267,38 @@
     ) -> None:
         """Replace the load that the other entries reported.
 
-        Each load maps a worker's name to a number of requests, followed by
-        prompt tokens by urgency group.
+        Each load maps a worker's name to figures as in ``rooms.reports``.
         """
-        running: dict[str, int] = {}
-        prefill_tokens: dict[str, list[int]] = {}
+        totals: dict[str, reports.PeerLoad] = {}
         for load in loads:
-            for name, (requests, *tokens) in load.items():
-                running[name] = running.get(name, 0) + requests
-                known = prefill_tokens.setdefault(name, _build_zero_tokens())
-                for urgency, count in enumerate(tokens[:URGENCY_GROUPS]):
-                    known[urgency] += count
+            for name, figures in load.items():
+                totals.setdefault(name, reports.PeerLoad()).add(figures)
         for name, worker in self.workers.items():
-            worker.peer_running = running.get(name, 0)
-            worker.peer_prefill_tokens = (
-                prefill_tokens.get(name) or _build_zero_tokens()
-            )
+            total = totals.get(name) or reports.PeerLoad()
+            worker.peer_running = total.running
+            worker.peer_prefill_tokens = total.prefill_tokens
+            worker.peer_waiting = total.waiting
 
-    def measure_load(self) -> dict[str, tuple[int, ...]]:
+    def merge_slowdowns(
+        self, load: abc.Mapping[str, tuple[int, ...]], now: float
+    ) -> None:
+        """Record the slowdowns in a peer's report that has just arrived."""
+        for name, figures in load.items():
+            worker = self.workers.get(name)
+            if worker is not None:
+                reports.merge_slowdown(worker.slowdown, figures, now)
+
+    def measure_load(self, now: float) -> dict[str, tuple[int, ...]]:
         """Return this entry's load by worker, as peers receive it."""
         return {
-            name: (worker.running, *worker.prefill_tokens)
+            name: (
+                worker.running,
+                *worker.prefill_tokens,
+                *worker.waiting,
+                *reports.encode_slowdown(worker.slowdown, now),
+            )
             for name, worker in self.workers.items()
-            if worker.running
+            if worker.running or worker.slowdown.is_slow(now)
         }
 
     def measure_outcomes(self, now: float) -> dict[str, tuple[int, int]]:
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -261,10 +261,15 @@
             self._give_up_without_worker(now)
             return
         if self.request.prompt is not None and not self.history.attempts:
-            refusal = admitting.shed(services, self.route, candidate)
+            refusal = admitting.shed(
+                services, self.route, candidate, self.deadline_at - now
+            )
             if refusal is not None:
                 self._finish(refusal)
                 return
+        if not dispatching.can_end(self, candidate, now):
+            self._give_up(evidence.describe_short_time(self.upstream))
+            return
         self.expected_s = candidate.wait_s
         dispatching.send(self, candidate, now)
 
@@ -363,6 +368,9 @@
             source.pending_prefill_tokens
         )
         source.pending_prefill_tokens = 0
+        if source.is_waiting:
+            source.is_waiting = False
+            source.worker.waiting[self.urgency] -= 1
 
     def _count_run(self) -> None:
         if not self.is_run_counted:
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -4,6 +4,8 @@
 import enum
 from collections import abc
 
+from citronjunction.rooms import models as rooms
+
 
 SUCCESS_CLASS = 2  # first digit of an HTTP status
 
@@ -287,7 +289,8 @@
     for no further requests. ``is_framed`` is false if only the end of the
     connection ends the body. ``limit_per_s`` is the number of requests a second
     that the worker takes from all entries together, ``max_refusals_per_s`` the
-    number of refusals above which it ends; each is None if it states none.
+    number of refusals above which it ends; each is None if it states none, and
+    so is ``load``.
     """
 
     status: int
@@ -301,6 +304,7 @@
     is_framed: bool = True
     limit_per_s: float | None = None
     max_refusals_per_s: float | None = None
+    load: rooms.StatedLoad | None = None
 
     @property
     def is_success(self) -> bool:
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -5,6 +5,7 @@
 from citronjunction.attempts import suspects
 from citronjunction.gateway import (
     attempt,
+    choosing,
     context,
     evidence,
     fleet,
@@ -37,6 +38,8 @@
             services.observer.on_worker_leaving(leaving)
     if _is_from_worker(answer):
         services.observer.on_worker_answer(worker, answer, source.sent_at)
+    if answer.load is not None and answer.load.slowdown is not None:
+        worker.slowdown.record(answer.load.slowdown, services.timers.now())
     if answer.retry_after_s is not None:
         until = services.timers.now() + answer.retry_after_s
         worker.paused_until = max(worker.paused_until, until)
@@ -180,10 +183,25 @@
     record_time = services.rollouts.record_time
     sized_route = name_route(route, source.prefill_tokens)
     record_time(source.worker, sized_route, latency_s=latency_s)
+    if route.is_prompt and source.answer.is_success and source.answer.is_framed:
+        _record_held(services, route, source, now)
     if not route.is_prompt:
         record_time(source.worker, route.name, typical_s=latency_s)
 
 
+def _record_held(
+    services: context.Services,
+    route: models.Route,
+    source: attempt.Attempt,
+    now: float,
+) -> None:
+    """Record how long an answer held a slot, its prefill included."""
+    room = services.chooser.rooms.get(source.worker.registration.upstream)
+    rest_s = now - (source.first_byte_at or now)
+    prefill_s = source.prefill_tokens / choosing.PREFILL_TOKENS_PER_S
+    room.times.record(route.name, prefill_s, rest_s)
+
+
 def _log_ejection(
     services: context.Services,
     worker: fleet.Worker,
--- a/citronjunction/gateway/recording.py
+++ b/citronjunction/gateway/recording.py
@@ -5,9 +5,16 @@
 from citronjunction.gateway import counting, evidence
 
 if TYPE_CHECKING:
-    from citronjunction.gateway import attempt, flow
+    from citronjunction.gateway import (
+        attempt,
+        choosing,
+        context,
+        flow,
+        models,
+    )
 
 MS_PER_S = 1000
+ROOM_LINE_INTERVAL_S = 1.0  # between lines about an upstream's want of room
 
 
 def record_retry(flow: 'flow.Flow', failed: evidence.AttemptFailure) -> None:
@@ -35,6 +42,47 @@
     )
 
 
+def record_shed(
+    services: 'context.Services',
+    route: 'models.Route',
+    candidate: 'choosing.Candidate',
+    return_s: float,
+) -> None:
+    """Count a refusal for want of room, and log the room at intervals."""
+    is_slot_short = candidate.slot_wait_s >= candidate.queue_s
+    cause = 'slots' if is_slot_short else 'prefill'
+    services.counts.record(counting.RequestShed(cause, str(route.rank)))
+    worker = candidate.worker
+    upstream = worker.registration.upstream
+    room = services.chooser.rooms.get(upstream)
+    now = services.timers.now()
+    if now - room.logged_at < ROOM_LINE_INTERVAL_S:
+        return
+    room.logged_at = now
+    services.log.write(
+        'room short',
+        upstream,
+        cause=cause,
+        worker=worker.registration.name,
+        slots=worker.registration.slots,
+        running=worker.total_running,
+        waiting=sum(worker.waiting) + sum(worker.peer_waiting),
+        slowdown=round(worker.slowdown.measure(now), 2),
+        held_ms=_to_ms(room.times.held.value_s),
+        arrivals_per_s=round(room.returns.rate.measure(now), 1),
+        returns_for_ms=_to_ms(max(0, room.returns.until - now)),
+        return_ms=_to_ms(return_s),
+    )
+
+
+def record_send(flow: 'flow.Flow', candidate: 'choosing.Candidate') -> None:
+    """Count the wait for a slot that a prompt is sent in spite of."""
+    if candidate.slot_wait_s:
+        flow.services.counts.record(
+            counting.SlotAwaited(candidate.slot_wait_s, str(flow.urgency))
+        )
+
+
 def record_unframed_answer(
     flow: 'flow.Flow',
     source: 'attempt.Attempt',
--- a/citronjunction/gateway/sharing.py
+++ b/citronjunction/gateway/sharing.py
@@ -67,7 +67,7 @@
         services = self.services
         self.published_at = services.timers.now()
         services.quotas.clear_unreported()
-        running = services.fleet.measure_load()
+        running = services.fleet.measure_load(self.published_at)
         self.was_running = bool(running)
         self.reported_period_s = self._get_period_s()
         self.peers.publish_now(
@@ -129,6 +129,7 @@
             now,
         )
         self.ledger.merge_report(fact.name, fact.incarnation, fact.windows)
+        self.services.fleet.merge_slowdowns(fact.running, now)
         self._merge_loads(now)
 
     def _log_first_report(self, fact: facts.LoadState, now: float) -> None:
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -7,6 +7,7 @@
 
 FIRST_TOKEN_BOUNDS_S = (0.05, 0.1, 0.2, 0.38, 0.8, 1.6, 5, 20)
 REQUEST_DURATION_BOUNDS_S = (0.05, 0.1, 0.2, 0.5, 1, 2, 5, 15)
+SLOT_WAIT_BOUNDS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 2)
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
 
@@ -65,6 +66,16 @@
             'citron_retries',
             description='requests sent to another worker, by evidence',
         )
+        self.shed = meter.create_counter(
+            'citron_shed',
+            description='requests refused for want of room, by cause',
+        )
+        self.slot_wait = meter.create_histogram(
+            'citron_slot_wait',
+            unit='s',
+            description='expected wait for a slot of requests that were sent',
+            explicit_bucket_boundaries_advisory=SLOT_WAIT_BOUNDS_S,
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/citronjunction/platform/names.py
+++ b/citronjunction/platform/names.py
@@ -16,6 +16,7 @@
 RETRY_AFTER = 'Retry-After'  # seconds
 LIMIT = 'Server-Limit'  # requests a second from all entries together
 BRITTLE = 'Server-Brittle'  # refusals a second above which the worker ends
+LOAD = 'Load'  # running, waiting, slots, slowdown in percent
 KV_SOURCE = 'Kv-From'  # address of the source and handle of the KV cache
 HOLDER = 'Holder'
 FENCING_TOKEN = 'Fencing-Token'
--- a/citronjunction/platform/upstream_calls.py
+++ b/citronjunction/platform/upstream_calls.py
@@ -7,12 +7,16 @@
 
 from citronjunction.gateway import models
 from citronjunction.platform import names
+from citronjunction.rooms import models as rooms
 from citronjunction.transport import echoes, http_client
 
 MS_PER_S = 1000
 MISDIRECTED = 421
 UNAVAILABLE = 503
 IS_LEAVING = '1'
+LOAD_FIGURES = 3  # a fourth one states how long work takes
+MAX_LOAD_FIGURE = 1_000_000
+PERCENT = 100
 MAX_RETRY_AFTER_S = 300.0  # a forged value must not exclude a worker for good
 RESPONSE_MARGIN_S = 1.0  # read timeout beyond the worker's own deadline
 ECHO_HEADER = names.REQUEST_ID.lower()
@@ -94,6 +98,7 @@
         is_framed=head.is_framed,
         limit_per_s=_read_rate(headers, names.LIMIT),
         max_refusals_per_s=_read_rate(headers, names.BRITTLE),
+        load=_read_load(headers),
     )
 
 
@@ -134,6 +139,29 @@
     return rate
 
 
+def _read_load(headers: abc.Mapping[str, str]) -> rooms.StatedLoad | None:
+    text = headers.get(names.LOAD.lower())
+    if text is None:
+        return None
+    figures = [part.strip() for part in text.split(',', LOAD_FIGURES + 1)]
+    is_usable = len(figures) - LOAD_FIGURES in {0, 1} and all(
+        map(_is_load_figure, figures)
+    )
+    if not is_usable:
+        logging.warning('worker sent an unusable Load: %.40r', text)
+        return None
+    running, waiting, slots, *percent = map(int, figures)
+    return rooms.StatedLoad(
+        running, waiting, slots, percent[0] / PERCENT if percent else None
+    )
+
+
+def _is_load_figure(text: str) -> bool:
+    is_number = text.isascii() and text.isdecimal()
+    is_short = len(text) <= len(str(MAX_LOAD_FIGURE))
+    return is_number and is_short and int(text) <= MAX_LOAD_FIGURE
+
+
 def _read_length(headers: abc.Mapping[str, str]) -> int | None:
     text = headers.get('content-length', '')
     return int(text) if text.isdecimal() else None
--- /dev/null
+++ b/citronjunction/rooms/__init__.py
@@ -0,0 +1,1 @@
+"""Room at workers: slots, times held and slowdowns, without I/O."""
