Rooms: draw two workers where slots are short, count urgent arrivals

Change: two workers are drawn once both preferred ones have no free slot; the wait for a slot counts the more urgent requests that are sent meanwhile.

--- a/citronjunction/gateway/assembling.py
+++ b/citronjunction/gateway/assembling.py
@@ -30,7 +30,7 @@
     source = owner.loop.random
     workers = fleet.Fleet()
     reach = reachability.Reachability()
-    return context.Services(
+    services = context.Services(
         settings,
         timers,
         owner.loop.client,
@@ -51,6 +51,8 @@
         counting.Counts(owner.name),
         owner.events,
     )
+    services.chooser.rooms.count_entries = services.count_budget_entries
+    return services
 
 
 def _build_forwarder(
--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -24,6 +24,7 @@
 SECOND_CHOICE_PENALTY_S = 0.1
 OTHER_ZONE_PENALTY_S = 0.002  # prefers workers of the entry's own data centre
 WARMUP_PENALTY_S = 0.2  # for a worker that is still slow after its start
+DRAWN_WORKERS = 2  # compared where the slots of the preferred ones are taken
 # Part of an answer after its first event that a slow spell may delay.
 SLOW_REST_S = 0.1
 # Makes a worker whose registration vanished the last choice.
@@ -81,7 +82,7 @@
             return None
         if prompt is None:
             return self._choose_plain(usable, now)
-        held_s = self.rooms.get(upstream).times.held.value_s
+        held_s = self._estimate_held_s(upstream, usable, urgency, now)
         return self._choose_for_prompt(usable, prompt, urgency, held_s, now)
 
     def _select(
@@ -135,10 +136,13 @@
         now: float,
     ) -> Candidate:
         ranked = rank_by_affinity(prompt.affinity_key, usable)
+        excluded = self._exclude_others(ranked, urgency)
         cache_miss_s = prompt.shared_tokens / PREFILL_TOKENS_PER_S
         best = None
         best_cost_s = math.inf
         for order, worker in enumerate(ranked):
+            if worker in excluded:
+                continue
             # Admitted prompts of all urgencies are prefilled side by side.
             prefill_ahead = worker.count_prefill_tokens(
                 fleet.URGENCY_GROUPS - 1
@@ -176,6 +180,43 @@
                 best_cost_s = cost_s
         return best
 
+    def _exclude_others(
+        self, ranked: list[fleet.Worker], urgency: int
+    ) -> abc.Container[fleet.Worker]:
+        """Return the workers to leave out as the first two have no free slot.
+
+        Others are drawn: peers read the same reports, late, and would all send
+        to the same best worker. Those with a free slot go first if there is one
+        for each entry.
+        """
+        if not all(_is_full(worker, urgency) for worker in ranked[:2]):
+            return ()
+        free = [worker for worker in ranked if not _is_full(worker, urgency)]
+        drawn_from = free
+        if len(free) < min(len(ranked), self.rooms.count_entries()):
+            drawn_from = ranked
+        if len(drawn_from) <= DRAWN_WORKERS:
+            return set(ranked).difference(drawn_from)
+        drawn = self.random.sample(drawn_from, DRAWN_WORKERS)
+        return set(ranked).difference(drawn)
+
+    def _estimate_held_s(
+        self,
+        upstream: str,
+        usable: list[fleet.Worker],
+        urgency: int,
+        now: float,
+    ) -> float:
+        """Return how long slots are held for requests of an urgency.
+
+        More urgent requests that arrive later take a part of the freed slots.
+        """
+        room = self.rooms.get(upstream)
+        held_s = room.times.held.value_s
+        slots = sum(worker.registration.slots for worker in usable)
+        slots /= max(1, self.rooms.count_entries())
+        return held_s / (1 - room.measure_urgent_share(urgency, slots, now))
+
     def _estimate_prefill_s(
         self,
         worker: fleet.Worker,
@@ -205,6 +246,11 @@
         return penalty_s
 
 
+def _is_full(worker: fleet.Worker, urgency: int) -> bool:
+    occupancy = worker.measure_occupancy(urgency)
+    return occupancy.running >= occupancy.slots and bool(occupancy.excess)
+
+
 def rank_by_affinity(
     key: str,
     workers: abc.Iterable[fleet.Worker],
--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -35,6 +35,8 @@
         new_attempt.is_waiting = True
         worker.waiting[flow.urgency] += 1
         recording.record_send(flow, candidate)
+        room = flow.services.chooser.rooms.get(worker.registration.upstream)
+        room.sent[flow.urgency].record(now)
     call = flow.services.codec.encode_call(
         flow.request,
         assigning.build_assignment(
--- a/citronjunction/rooms/estimates.py
+++ b/citronjunction/rooms/estimates.py
@@ -1,16 +1,26 @@
 """Room of all upstreams as one entry sees it."""
 
 import dataclasses
+from collections import abc
 
-from citronjunction.rooms import answers, models, returning
+from citronjunction.rooms import answers, models, reports, returning
 
 # Part of a route's mean answer time that an attempt needs at least.
 SHORT_ANSWER_SHARE = 0.35
+# Share of freed slots that more urgent requests may take in a prediction.
+MAX_URGENT_SHARE = 0.8
+
+
+def _build_rates() -> list[returning.ArrivalRate]:
+    return [returning.ArrivalRate() for _ in range(reports.URGENCY_GROUPS)]
 
 
 @dataclasses.dataclass(slots=True)
 class UpstreamRoom:
-    """Store what is learned about an upstream's workers."""
+    """Store what is learned about an upstream's workers.
+
+    ``sent`` are the rates of prompts that this entry sends, by urgency group.
+    """
 
     times: answers.AnswerTimes = dataclasses.field(
         default_factory=answers.AnswerTimes
@@ -18,16 +28,32 @@
     returns: returning.Returns = dataclasses.field(
         default_factory=returning.Returns
     )
+    sent: list[returning.ArrivalRate] = dataclasses.field(
+        default_factory=_build_rates
+    )
     logged_at: float = float('-inf')
 
+    def measure_urgent_share(
+        self, urgency: int, slots: float, now: float
+    ) -> float:
+        """Return the share of freed slots that more urgent requests take.
+
+        ``slots`` is this entry's part of the upstream's slots.
+        """
+        per_s = sum(rate.measure(now) for rate in self.sent[:urgency])
+        share = per_s * self.times.held.value_s / max(1e-3, slots)
+        return min(MAX_URGENT_SHARE, share)
+
 
 class Rooms:
     """Find the room of an upstream, creating it if needed."""
 
-    __slots__ = ('by_upstream',)
+    __slots__ = ('by_upstream', 'count_entries')
 
     def __init__(self) -> None:
         self.by_upstream: dict[str, UpstreamRoom] = {}
+        # Returns the number of entries that use the workers.
+        self.count_entries: abc.Callable[[], int] = _count_alone
 
     def get(self, upstream: str) -> UpstreamRoom:
         """Return the room of an upstream that the configuration names."""
@@ -38,6 +64,10 @@
         return known
 
 
+def _count_alone() -> int:
+    return 1
+
+
 def estimate_slot_wait_s(occupancy: models.Occupancy, held_s: float) -> float:
     """Return how long a further request waits for a slot.
 
