--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -192,9 +192,8 @@
         if not all(_is_full(worker, urgency) for worker in ranked[:2]):
             return ()
         free = [worker for worker in ranked if not _is_full(worker, urgency)]
-        drawn_from = free
-        if len(free) < min(len(ranked), self.rooms.count_entries()):
-            drawn_from = ranked
+        entries = max(1, self.rooms.count_entries())
+        drawn_from = free if len(free) >= min(len(ranked), entries) else ranked
         if len(drawn_from) <= DRAWN_WORKERS:
             return set(ranked).difference(drawn_from)
         drawn = self.random.sample(drawn_from, DRAWN_WORKERS)
--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -54,9 +54,14 @@
 def can_end(
     flow: 'flows.Flow', candidate: choosing.Candidate, now: float
 ) -> bool:
-    """Return whether an attempt may end before the deadline."""
+    """Return whether an attempt may end before the deadline.
+
+    How much is left of a stream that goes on is unknown.
+    """
+    if flow.request.prompt is None or flow.last_event:
+        return True
     room = flow.services.chooser.rooms.get(flow.upstream)
-    return flow.request.prompt is None or estimates.can_end(
+    return estimates.can_end(
         room, flow.route.name, candidate.slot_wait_s, flow.deadline_at - now
     )
 
