Duties: workers are ordered by need (trial, not for landing yet)

Cause: orders followed from whole prompt tokens by the figures of one engine; slots, KV cache, the speed of the engine and the objectives took no part.

Change: citronjunction/capacity computes the largest of slots (Erlang C over reported runs), prefill (processor sharing, so that the largest prompts are read in time) and KV cache, from first events and reports that go anyway; with room for a wave that takes two data centres. During a wave no reclaimable worker is given back. Until the engine is known, the figures of before hold.

Result: decision tests of drawn engines, a shift change, a dry reclaim wave and a loss of all entries pass.

The constants of the reference engine have moved to capacity/need.py, as does their use in tests/duties/test_scaling.py; its bounds are unchanged.

--- a/citronjunction/duties/autoscaling.py
+++ b/citronjunction/duties/autoscaling.py
@@ -1,7 +1,9 @@
 """Autoscaling of upstreams, under the duties lease."""
 
+import dataclasses
 from collections import abc
 
+from citronjunction.capacity import need
 from citronjunction.duties import models, scaling
 from citronjunction.gateway import models as gateway
 from citronjunction.gateway import context
@@ -11,6 +13,15 @@
 DECISION_INTERVAL_S = 0.5
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sample:
+    """Record the tokens offered so far and the runs at workers at a time."""
+
+    at: float
+    offered: float
+    running: int
+
+
 class Autoscaler:
     """Order workers to fit the demand that entries report."""
 
@@ -41,7 +52,7 @@
         self.get_offered = get_offered
         self.log = log
         self.scalers: dict[str, scaling.Scaler] = {}
-        self.samples: dict[str, list[tuple[float, float]]] = {}
+        self.samples: dict[str, list[Sample]] = {}
         self.stepped_at: float = 0
 
     def step(self, get_fence: abc.Callable[[], models.Fence | None]) -> None:
@@ -53,29 +64,47 @@
         ):
             return
         self.stepped_at = now
-        for name, policy in self.services.configuration.upstreams.items():
+        for policy in self.services.configuration.upstreams.values():
             if policy.scaling is not None:
-                self._step_upstream(name, policy.scaling, get_fence, now)
+                self._step_upstream(policy, policy.scaling, get_fence, now)
 
     def _step_upstream(
         self,
-        name: str,
+        policy: gateway.UpstreamPolicy,
         limits: gateway.Scaling,
         get_fence: abc.Callable[[], models.Fence | None],
         now: float,
     ) -> None:
+        name = policy.name
         scaler = self.scalers.setdefault(name, scaling.Scaler(name))
+        tokens_per_s = self._measure_demand(name, now)
+        samples = self.samples[name]
         state = scaling.UpstreamState(
             limits,
             self._count_workers(name, is_stable=True),
-            self._measure_demand(name, now),
+            tokens_per_s,
             self._count_workers(name, is_stable=False),
             has_trial=self.services.rollouts.holds_workers(name, now),
-            has_callers=self.get_offered(name) > 0,
+            has_callers=samples[-1].offered > 0,
+            running=sum(sample.running for sample in samples) / len(samples),
+            room=self._measure_room(policy),
+            profile=self.services.observations.describe(name),
         )
         for order in scaler.decide(state, now):
             self._send(scaler, order, get_fence, now)
 
+    def _measure_room(self, policy: gateway.UpstreamPolicy) -> need.Room:
+        """Return the room of a typical worker of an upstream."""
+        slots = sorted(
+            worker.registration.slots
+            for worker in self.services.fleet.select(policy.name)
+        )
+        engine = policy.engine
+        return need.Room(
+            slots[len(slots) // 2] if slots else 1,
+            engine.cache_tokens if engine else 0,
+        )
+
     def _count_workers(
         self, upstream: str, *, is_stable: bool
     ) -> dict[tuple[str, bool], scaling.WorkerCount]:
@@ -96,14 +125,21 @@
 
     def _measure_demand(self, upstream: str, now: float) -> float | None:
         samples = self.samples.setdefault(upstream, [])
-        samples.append((now, self.get_offered(upstream)))
-        while now - samples[0][0] > DEMAND_WINDOW_S:
+        workers = self.services.fleet.select(upstream)
+        # Requests above a worker's slots wait there.
+        running = sum(
+            min(worker.total_running, worker.registration.slots)
+            for worker in workers
+        )
+        samples.append(Sample(now, self.get_offered(upstream), running))
+        while now - samples[0].at > DEMAND_WINDOW_S:
             samples.pop(0)
-        first_at, first = samples[0]
-        last_at, last = samples[-1]
-        if last_at - first_at < DEMAND_WINDOW_S / 2 or last <= first:
+        first = samples[0]
+        last = samples[-1]
+        elapsed_s = last.at - first.at
+        if elapsed_s < DEMAND_WINDOW_S / 2 or last.offered <= first.offered:
             return None
-        return (last - first) / (last_at - first_at)
+        return (last.offered - first.offered) / elapsed_s
 
     def _send(
         self,
@@ -123,6 +159,7 @@
             is_reclaimable=order.is_reclaimable,
             count=order.count,
             peak_tokens_per_s=round(scaler.peak),
+            needed=dataclasses.asdict(scaler.needed),
             token=fence.token,
         )
         self.cloud.order_workers(
--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -9,12 +9,12 @@
 import math
 from collections import abc
 
+from citronjunction.capacity import need, observing, occupancy
 from citronjunction.duties import models
 from citronjunction.gateway import models as gateway
 
-TARGET_WORKER_TOKENS_PER_S = 18000.0  # prompt tokens, at the planned load
-MAX_WORKER_TOKENS_PER_S = 34000.0  # prompt tokens; above, first tokens are late
 MIN_OBSERVATION_S = 12.0  # before the measured demand replaces the estimate
+LEARNED_OBSERVATION_S = 5.0  # the same once the engine is known
 # Time without a new registration after which all running workers are known.
 SETTLE_S = 1.0
 WORKERS_PER_ON_DEMAND = 2.0  # assumed need per on-demand worker at the start
@@ -43,7 +43,10 @@
     present, None until measured. ``other_workers`` are those of a version that
     does not take usual requests. While ``has_trial``, they are on trial, and the
     platform counts them in the orders. ``has_callers`` tells whether callers
-    have sent requests, also while their rate is not measured yet.
+    have sent requests, also while their rate is not measured yet. ``running``
+    is the mean number of runs at all workers over the same time as
+    ``tokens_per_s``, ``room`` that of one worker, and ``profile`` describes
+    the prompts and the engine once they are known.
     """
 
     scaling: gateway.Scaling
@@ -54,6 +57,9 @@
     )
     has_trial: bool = False
     has_callers: bool = False
+    running: float = 0
+    room: need.Room = need.Room(1, 0)
+    profile: observing.Profile | None = None
 
     def count_on_trial(self, key: tuple[str, bool]) -> int:
         """Return the workers on trial, which orders must not remove."""
@@ -86,11 +92,13 @@
         'name',
         'need',
         'need_at',
+        'needed',
         'on_trial',
         'peak',
         'peak_at',
         'refused_until',
         'sent',
+        'slot_time',
         'started_at',
         'trial_changed_at',
     )
@@ -108,6 +116,8 @@
         self.largest_total = 0
         self.last_growth_at: float = 0
         self.started_at: float | None = None
+        self.slot_time = occupancy.SlotTime()
+        self.needed = need.Need(0, 0, 0, 0, 0)
         self.need = 0
         self.need_at: float = 0
         self.has_trial = False
@@ -196,6 +206,14 @@
         decayed = self.peak * math.exp((self.peak_at - now) / PEAK_DECAY_S)
         self.peak = max(demand, decayed)
         self.peak_at = now
+        self.slot_time.record(state.running, demand, self.peak, now)
+        slots = self.peak * self.slot_time.measure(now)
+        self.needed = need.compute_need(
+            need.Demand(self.peak, slots),
+            state.room,
+            state.profile,
+            len(state.scaling.prices),
+        )
 
     def _plan(
         self,
@@ -204,7 +222,7 @@
     ) -> dict[tuple[str, bool], int]:
         scaling = state.scaling
         zones = sorted(scaling.prices, key=lambda zone: scaling.prices[zone])
-        reclaimable = _spread(self._get_need(now), zones, scaling)
+        reclaimable = _spread(self._get_need(state, now), zones, scaling)
         min_workers = self._get_min_workers(now)
         retained = self._retain_on_demand(state, reclaimable, min_workers)
         for zone, count in retained.items():
@@ -235,14 +253,13 @@
         A new holder does not know their peak. Until it has seen enough of
         them, it keeps as many workers as it found in use.
         """
-        measured = math.ceil(self.peak / MAX_WORKER_TOKENS_PER_S)
-        if self._is_demand_known(now):
-            return measured
-        return max(measured, self.found_workers)
+        if self._is_demand_known(now, MIN_OBSERVATION_S):
+            return self.needed.least
+        return max(self.needed.least, self.found_workers)
 
-    def _is_demand_known(self, now: float) -> bool:
+    def _is_demand_known(self, now: float, observation_s: float) -> bool:
         since = self.demand_since
-        return since is not None and now - since >= MIN_OBSERVATION_S
+        return since is not None and now - since >= observation_s
 
     def _retain_on_demand(
         self,
@@ -296,15 +313,32 @@
         boot_s = state.scaling.boot_s + BOOT_MARGIN_S
         return current.ready if now - sent.at > boot_s else planned
 
-    def _get_need(self, now: float) -> int:
-        need = math.ceil(self.peak / TARGET_WORKER_TOKENS_PER_S)
-        if not self._is_demand_known(now):
-            need = max(need, self.assumed_need)
-        if need >= self.need or now - self.need_at > SHRINK_DELAY_S:
-            self.need = need
+    def _get_need(self, state: UpstreamState, now: float) -> int:
+        planned = self.needed.planned
+        observation_s = (
+            MIN_OBSERVATION_S
+            if state.profile is None
+            else LEARNED_OBSERVATION_S
+        )
+        if not self._is_demand_known(now, observation_s):
+            planned = max(planned, self.assumed_need)
+        if planned < self.need and self._is_in_wave(state, now):
+            # What is given back now can't be had again.
+            self.need_at = now
+        if planned >= self.need or now - self.need_at > SHRINK_DELAY_S:
+            self.need = planned
             self.need_at = now
         return self.need
 
+    def _is_in_wave(self, state: UpstreamState, now: float) -> bool:
+        """Return whether reclaimable workers leave or can't be had."""
+        is_leaving = any(
+            current.leaving
+            for (_, is_reclaimable), current in state.workers.items()
+            if is_reclaimable
+        )
+        return is_leaving or self._is_capacity_short(now)
+
     def _is_due(
         self,
         state: UpstreamState,
--- a/citronjunction/gateway/context.py
+++ b/citronjunction/gateway/context.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from citronjunction.attempts import suspect_parts, suspects
+from citronjunction.capacity import observing
 from citronjunction.conf import models as conf
 from citronjunction.gateway import (
     attempt,
@@ -95,6 +96,9 @@
         default_factory=dict,
     )
     offered: dict[str, float] = dataclasses.field(default_factory=dict)
+    observations: observing.Observations = dataclasses.field(
+        default_factory=observing.Observations
+    )
     flows: set[object] = dataclasses.field(default_factory=set)
     is_leaving: bool = False
     # Number of entries that divide the retry budgets; 0 means all entries.
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -139,6 +139,9 @@
         self._release_prompt(source)
         if self.first_byte_s is None:
             self.first_byte_s = self.services.timers.now() - source.sent_at
+            outcomes.record_first_event(
+                self.services, self.route, source, self.request.prompt
+            )
         self.response.start(answer)
         self.on_part(source, part)
 
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from citronjunction.attempts import suspects
+from citronjunction.capacity import observing
 from citronjunction.gateway import (
     attempt,
     context,
@@ -54,6 +55,27 @@
     return is_stated and not answer.is_misdirected
 
 
+def record_first_event(
+    services: context.Services,
+    route: models.Route,
+    source: attempt.Attempt,
+    prompt: models.Prompt | None,
+) -> None:
+    """Record how long the first event of a run took."""
+    if prompt is None or source.worker.is_peer:
+        return
+    services.observations.record(
+        source.worker.registration.upstream,
+        observing.FirstEvent(
+            prompt.prompt_tokens,
+            source.prefill_tokens,
+            prompt.total_tokens,
+            services.timers.now() - source.sent_at,
+            route.latency_target_s,
+        ),
+    )
+
+
 def record_answer(
     services: context.Services,
     route: models.Route,
