--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -315,11 +315,9 @@
 
     def _get_need(self, state: UpstreamState, now: float) -> int:
         planned = self.needed.planned
-        observation_s = (
-            MIN_OBSERVATION_S
-            if state.profile is None
-            else LEARNED_OBSERVATION_S
-        )
+        observation_s = MIN_OBSERVATION_S
+        if state.profile is not None:
+            observation_s = LEARNED_OBSERVATION_S
         if not self._is_demand_known(now, observation_s):
             planned = max(planned, self.assumed_need)
         if planned < self.need and self._is_in_wave(state, now):
@@ -332,12 +330,10 @@
 
     def _is_in_wave(self, state: UpstreamState, now: float) -> bool:
         """Return whether reclaimable workers leave or can't be had."""
-        is_leaving = any(
-            current.leaving
+        return self._is_capacity_short(now) or any(
+            current.leaving and is_reclaimable
             for (_, is_reclaimable), current in state.workers.items()
-            if is_reclaimable
         )
-        return is_leaving or self._is_capacity_short(now)
 
     def _is_due(
         self,
