--- a/citronjunction/gateway/departures.py
+++ b/citronjunction/gateway/departures.py
@@ -2,6 +2,10 @@
 
 import dataclasses
 
+# Time after a restore of the store in which the platform removes registrations
+# of workers that are silent.
+RESTORED_WORKERS_S = 4.5
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Departure:
@@ -13,3 +17,15 @@
     started_at_ms: int
     left_at: float
     is_final: bool
+
+    def is_over(self, restored_at: float | None, now: float) -> bool:
+        """Return whether a worker that is registered again is in use again.
+
+        A restored store may list a worker that is gone, until the platform
+        removes the registration once more.
+        """
+        if self.is_final:
+            return False
+        if restored_at is None or self.left_at >= restored_at:
+            return True
+        return now - restored_at >= RESTORED_WORKERS_S
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -15,9 +15,6 @@
 from citronjunction.store import eras, mirror, probing, records
 
 RARE_WAIT_FACTOR = 2  # the watch of a kind with rare changes waits longer
-# Time after a restore of the store in which the platform removes registrations
-# of workers that are silent.
-RESTORED_WORKERS_S = 4.5
 REVIVE_INTERVAL_S = 0.5  # between checks that the mirrors go on
 
 
@@ -275,7 +272,7 @@
         self.evacuating.begin_era()
         self.services.log.write('store restored', str(era))
         self.services.timers.call_later(
-            RESTORED_WORKERS_S, self._apply_restored_workers
+            departures.RESTORED_WORKERS_S, self._apply_restored_workers
         )
 
     def _apply_restored_workers(self) -> None:
@@ -343,8 +340,9 @@
         if registration is None:
             return
         services = self.services
+        now = services.timers.now()
         departure = services.fleet.find_departure(registration)
-        if departure is not None and not self._has_returned(departure):
+        if departure and not departure.is_over(self.restored_at, now):
             return
         known = services.fleet.workers.get(registration.name)
         before = known and known.registration
@@ -375,19 +373,6 @@
                 running=worker.total_running,
             )
 
-    def _has_returned(self, departure: departures.Departure) -> bool:
-        """Return whether a worker that was removed is in use again.
-
-        A restored store may list a worker that is gone, until the platform
-        removes the registration once more.
-        """
-        if departure.is_final:
-            return False
-        if self.restored_at is None or departure.left_at >= self.restored_at:
-            return True
-        now = self.services.timers.now()
-        return now - self.restored_at >= RESTORED_WORKERS_S
-
     def _apply_rollout(self, record: records.Record) -> None:
         rollout = self.decoder.decode_rollout(record)
         now = self.services.timers.now()
