Tests: connections of both builds are of one type; sections without a value

Cause: connections between entries of two builds in virtual time were of the old build's type, without on_unsent; a section of the template was rendered for a field without a value.

--- a/tests/conf/test_template.py
+++ b/tests/conf/test_template.py
@@ -42,6 +42,8 @@
     'bounds.usageLateS': ('duties', 'usage_late_s'),
     'bounds.evacMs': ('evacuations', 'bound_ms'),
 }
+# Figures whose presence decides on a section of the settings.
+SECTIONS = {'pacing': 'bounds.coldOverrun', 'evacuations': 'bounds.evacMs'}
 ODD_FIGURES = ('', '0', '-1', '1e400', 'nan', 'inf', 'null', 'true', '1,5')
 
 
@@ -51,7 +53,8 @@
     def render(found):
         name, inner = found.groups()
         if name != 'zones':
-            return render_sections(inner, figures) if name in figures else ''
+            # As on the platform, a field without a value has no section.
+            return render_sections(inner, figures) if figures.get(name) else ''
         return ''.join(
             inner.replace('{{@}}', zone).replace(
                 '{{,}}', ',' * (zone != ZONES[-1])
@@ -131,7 +134,8 @@
     for figure, (section, name) in FIGURES.items():
         used = getattr(getattr(loaded.ok, section), name)
         assert math.isfinite(used) and used >= 0
-        is_left_out = section == 'pacing' and not figures['bounds.coldOverrun']
+        switch = SECTIONS.get(section, figure)
+        is_left_out = section in SECTIONS and not figures[switch]
         if is_left_out or any(
             place.endswith(f'[{section}] {name}') for place in replaced
         ):
--- a/tests/support/mixed_system.py
+++ b/tests/support/mixed_system.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 
+from citronjunction.transport import sockets
 from soak import builds
 from tests.support import platform_system
 
@@ -28,6 +29,8 @@
             self.virtual = importlib.import_module('tests.support.virtual')
             for name in ('observability.metrics', 'gateway.fleet'):
                 importlib.import_module(f'citronjunction.{name}')
+        # A virtual connection is one object for the builds at both ends.
+        self.virtual.sockets.Connection = sockets.Connection
 
 
 @functools.cache
