Duties: a new holder keeps on-demand workers, and orders none for what it found

Change: what was found only keeps on-demand workers until others have started; new ones follow from the measured demand, as before.

--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -221,8 +221,7 @@
         ]
         zones = sorted(places, key=lambda zone: scaling.prices[zone])
         reclaimable = _spread(self._get_need(now), zones, scaling)
-        min_workers = self._get_min_workers(now)
-        retained = self._retain_on_demand(state, reclaimable, min_workers)
+        retained = self._retain_on_demand(state, reclaimable, now)
         for zone, count in retained.items():
             reclaimable[zone] = min(reclaimable[zone], scaling.maximum - count)
         expected = {
@@ -230,6 +229,7 @@
             for zone, count in reclaimable.items()
         }
         wanted = {(zone, True): count for zone, count in reclaimable.items()}
+        min_workers = self._get_min_workers()
         if self._is_capacity_short(now):
             # Reclaims come in waves: plan for the loss of another data centre.
             min_workers += max(expected.values(), default=0)
@@ -245,16 +245,8 @@
             shortfall = max(0, shortfall - substitutes)
         return wanted
 
-    def _get_min_workers(self, now: float) -> int:
-        """Return the least number of workers that the callers need.
-
-        A new holder does not know their peak. Until it has seen enough of
-        them, it keeps as many workers as it found in use.
-        """
-        measured = math.ceil(self.peak / MAX_WORKER_TOKENS_PER_S)
-        if self._is_demand_known(now):
-            return measured
-        return max(measured, self.found_workers)
+    def _get_min_workers(self) -> int:
+        return math.ceil(self.peak / MAX_WORKER_TOKENS_PER_S)
 
     def _is_demand_known(self, now: float) -> bool:
         since = self.demand_since
@@ -264,9 +256,16 @@
         self,
         state: UpstreamState,
         reclaimable: dict[str, int],
-        min_workers: int,
+        now: float,
     ) -> dict[str, int]:
-        """Return the on-demand workers to keep until others have started."""
+        """Return the on-demand workers to keep until others have started.
+
+        A new holder does not know the callers' peak. Until it has seen enough
+        of them, it keeps as many workers as it found in use.
+        """
+        min_workers = self._get_min_workers()
+        if not self._is_demand_known(now):
+            min_workers = max(min_workers, self.found_workers)
         started = {
             zone: min(count, _count(state, zone, is_reclaimable=True))
             for zone, count in reclaimable.items()
