Pacing: entries that are not chosen to serve are no delegates after a start

Cause: before the first choice of who serves all entries count as serving.

Change: who serves is kept only once an entry has settled.

--- a/citronjunction/pacing/roster.py
+++ b/citronjunction/pacing/roster.py
@@ -91,8 +91,8 @@
         """Take over what is known of the peers."""
         own = (self.own_name,)
         all_known = frozenset((*peers.known, *own))
-        for name in peers.serving:
-            self.served_at[name] = now
+        if self.is_settled:
+            self.served_at.update((name, now) for name in peers.serving)
         hold_s = max(DELEGATE_S, DELEGATE_PER_ENTRY_S * len(all_known))
         self.served_at = {
             name: at
@@ -103,7 +103,10 @@
         if len(all_known) > 1 and self.peers_at is None:
             self.peers_at = now
         all_known |= self._list_assumed(len(all_known), peers, now)
-        delegates = frozenset(self.served_at) or frozenset(own)
+        # Until this entry has settled, those that serve may not be chosen yet.
+        delegates = frozenset(self.served_at) or frozenset(
+            (*peers.serving, *own)
+        )
         if now - self.started_at < hold_s and len(delegates) < len(all_known):
             # Peers know who served before this start.
             delegates |= {f'former-{name}' for name in delegates}
