Callers: accepted connections count against the sockets of the process

Change: a new connection needs a free socket too, for which a slow one goes; one that is refused is closed at once.

--- a/citronjunction/budgeting/ledger.py
+++ b/citronjunction/budgeting/ledger.py
@@ -36,6 +36,7 @@
         'accounts',
         'addresses',
         'bodies',
+        'count_sockets',
         'listeners',
         'on_ended',
         'settings',
@@ -50,6 +51,8 @@
         self.addresses: dict[str, Usage] = {}
         self.listeners: collections.Counter[str] = collections.Counter()
         self.total = 0
+        # Returns the number of open sockets, a new connection's included.
+        self.count_sockets: abc.Callable[[], int] = _count_none
         self.on_ended: abc.Callable[[budgets.Ended], None] = _ignore
 
     @property
@@ -66,6 +69,9 @@
         if usage.connections >= self.settings.max_address_connections:
             self._report(account, budgets.Limit.address, now)
             return None
+        if not self.has_socket(self.count_sockets() - 1, now):
+            self._report(account, budgets.Limit.sockets, now)
+            return None
         if not self._has_connection(listener, now):
             self._report(account, budgets.Limit.connections, now)
             return None
@@ -126,7 +132,7 @@
         return True
 
     def has_socket(self, opened: int, now: float) -> bool:
-        """Return whether a call to a worker may open one more socket."""
+        """Return whether one more socket may be opened beside those open."""
         if opened < self.settings.max_sockets:
             return True
         return self._evict_idlest(budgets.Limit.sockets, 0, now)
@@ -226,5 +232,9 @@
         return ended
 
 
+def _count_none() -> int:
+    return 0
+
+
 def _ignore(ended: budgets.Ended) -> None:
     """Drop the report."""
--- a/citronjunction/transport/http_server.py
+++ b/citronjunction/transport/http_server.py
@@ -181,6 +181,7 @@
         self.application = application
         self.connections: set[http_connection.HttpConnection] = set()
         self.ledger = callers or ledger.Ledger(settings)
+        self.ledger.count_sockets = process_sockets.count_open
         self.bodies = self.ledger.bodies
         self.is_closing = False
         self.name = name
@@ -204,9 +205,9 @@
         receiver.account = account or models.Account('', '', receiver.evict, 0)
         if account is None:
             receiver.account.is_open = False
-            self.timers.call_later(
-                0, lambda: receiver.close('too many connections')
-            )
+            # Later, many accepted at once could take all descriptors.
+            receiver.close('too many connections')
+            return receiver
         connection.on_unsent = receiver.on_unsent
         self.connections.add(receiver)
         return receiver
