--- a/citronjunction/commands/blocking_client.py
+++ b/citronjunction/commands/blocking_client.py
@@ -29,6 +29,12 @@
         self.is_done = True
         self.on_done()
 
+    def wait(self, loop: runtime.Runtime) -> Value:
+        """Run a loop that ``on_done`` stops until the value is there."""
+        while not self.is_done:
+            loop.run()
+        return self.value
+
 
 class BlockingClient:
     """Run the event loop until a call has its result."""
@@ -42,7 +48,7 @@
         """Read an object."""
         pending = PendingResult[store_models.ReadResult](self.loop.stop)
         self.api.read(kind, name, pending.set_value)
-        return self._wait(pending)
+        return pending.wait(self.loop)
 
     def list_objects(self, kind: str) -> list[store_models.StoredObject] | None:
         """Return all objects of a kind, or None on failure."""
@@ -50,7 +56,7 @@
             self.loop.stop
         )
         self.api.list_objects(kind, pending.set_value)
-        return self._wait(pending)
+        return pending.wait(self.loop)
 
     def write(
         self,
@@ -62,7 +68,7 @@
         """Write an object if its version is ``expected``."""
         pending = PendingResult[store_models.WriteResult](self.loop.stop)
         self.api.write(kind, name, spec, expected, pending.set_value)
-        return self._wait(pending)
+        return pending.wait(self.loop)
 
     def send(
         self,
@@ -74,15 +80,10 @@
         )
         sink = http_client.ReplyCollector(pending.set_value, pending.set_value)
         self.loop.client.send(call, sink)
-        return self._wait(pending)
+        return pending.wait(self.loop)
 
     def sleep(self, seconds: float) -> None:
         """Run the event loop for a number of seconds."""
         pending = PendingResult[None](self.loop.stop)
         self.loop.timers.call_later(seconds, lambda: pending.set_value(None))
-        self._wait(pending)
-
-    def _wait(self, pending: PendingResult[Value]) -> Value:
-        while not pending.is_done:
-            self.loop.run()
-        return pending.value
+        pending.wait(self.loop)
--- a/citronjunction/commands/stored_configuration.py
+++ b/citronjunction/commands/stored_configuration.py
@@ -14,6 +14,4 @@
     )
     pending = blocking_client.PendingResult[records.ReadResult](loop.stop)
     store.read(configuration.KIND, configuration.NAME, pending.set_value)
-    while not pending.is_done:
-        loop.run()
-    return pending.value
+    return pending.wait(loop)
--- a/citronjunction/conf/budgets.py
+++ b/citronjunction/conf/budgets.py
@@ -7,9 +7,8 @@
 RESERVED_DESCRIPTORS = 200  # files, and sockets of the event loop
 # Of the others, for workers, peers, the store and readiness.
 RESERVED_SHARE = 0.25
-RESERVED_FILES = (
-    32  # for what is no socket, and sockets of attempts that repeat
-)
+# For what is no socket, and sockets of attempts that repeat.
+RESERVED_FILES = 32
 MIN_CONNECTIONS = 256  # of callers
 BYTES_PER_MB = 1_000_000
 PROCESS_MB = 100  # resident without any body
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -177,7 +177,8 @@
     def record_send(self, worker: Worker, now: float) -> None:
         """Count a request that this entry sends to a worker."""
         self.limits.record_send(worker.registration.start_key, now)
-        self.pacer.record_send(get_target(worker), now)
+        if self.pacer.bounds:
+            self.pacer.record_send(get_target(worker), now)
 
     def mark_leaving(self, name: str, started_at_ms: int) -> Worker | None:
         """Record that a start of a worker will end.
--- a/citronjunction/pacing/pacer.py
+++ b/citronjunction/pacing/pacer.py
@@ -11,7 +11,6 @@
 
 WINDOW_S = 1.05  # a second, and the spread of the times until requests arrive
 NO_PART_WAIT_S = 1.0  # wait stated for a worker of which this entry has no part
-
 MAX_WORKERS = 2000  # whose parts are remembered
 
 
--- a/citronjunction/platform/configuration.py
+++ b/citronjunction/platform/configuration.py
@@ -1,6 +1,6 @@
 """Decoding of the platform's configuration and rollout objects."""
 
-import dataclasses
+from collections import abc
 from typing import Annotated
 
 import pydantic
@@ -191,22 +191,18 @@
 ) -> inspection.Draft | list[exceptions.Problem]:
     """Return a configuration to inspect, or all errors of its fields.
 
-    The errors name ``path`` and the place in the document. A quota that can't
-    be used is one of them, though a running gateway keeps the last one.
+    The errors name ``path`` and the place in the document. Quotas and figures
+    of a cold start that can't be used are among them, though a running gateway
+    keeps the last ones.
     """
     try:
         wire = WireConfiguration.model_validate(spec)
     except pydantic.ValidationError as error:
-        return [_describe(path, '', item) for item in _list_errors(error)]
-    problems = []
-    for order, tenant in enumerate(wire.tenants):
-        try:
-            WireQuota.model_validate(tenant.model_extra)
-        except pydantic.ValidationError as error:
-            problems.extend(
-                _describe(path, f'tenants.{order}.', item)
-                for item in _list_errors(error)
-            )
+        return _list_errors(error, f'{path} ')
+    problems = [
+        *_check_extras(wire.services, WireColdStart, f'{path} services'),
+        *_check_extras(wire.tenants, WireQuota, f'{path} tenants'),
+    ]
     if problems:
         return problems
     return inspection.Draft(
@@ -348,22 +344,27 @@
     return f'{first.where}: {first.text} ({error.error_count()} errors)'
 
 
+def _check_extras(
+    items: abc.Iterable[WireModel], model: type[WireModel], where: str
+) -> abc.Iterator[exceptions.Problem]:
+    """Yield the errors in what a model decodes of each item by itself."""
+    for order, item in enumerate(items):
+        try:
+            model.model_validate(item.model_extra)
+        except pydantic.ValidationError as error:
+            yield from _list_errors(error, f'{where}.{order}.')
+
+
 def _list_errors(
-    error: pydantic.ValidationError,
+    error: pydantic.ValidationError, prefix: str = ''
 ) -> list[exceptions.Problem]:
     """Return the fields that are malformed, by their place in the document."""
     return [
         exceptions.Problem(
             'E103',
-            '.'.join(str(part) for part in item['loc']),
+            prefix + '.'.join(str(part) for part in item['loc']),
             item['msg'],
             'write the field as the platform describes it',
         )
         for item in error.errors(include_input=False, include_url=False)
     ]
-
-
-def _describe(
-    path: str, prefix: str, problem: exceptions.Problem
-) -> exceptions.Problem:
-    return dataclasses.replace(problem, where=f'{path} {prefix}{problem.where}')
--- a/tests/inspection/test_check.py
+++ b/tests/inspection/test_check.py
@@ -72,6 +72,8 @@
     ),
     ('services', {'scaling': {'max': 2}}, ['W124', 'W125']),
     ('services', {'maxConns': 8}, ['W126']),
+    ('services', {'coldPerS': -1}, ['E103']),
+    ('services', {'coldS': 'soon'}, ['E103']),
     ('tenants', {'apiKeys': []}, ['W112']),
     ('tenants', {'ratePerS': 100, 'burst': 50}, ['W127']),
     ('tenants', {'ratePerS': -1}, ['E103']),
