Leases: a restarted host takes over the lease of its earlier process at once

Change: a host runs one process of ours at a time, so the process that replaces the holder on its host may take over at once, under a new epoch and so a higher token. Other hosts wait as before.

The state machine of leases restarts nodes now; the new test of duties fails without the change.

--- a/citronjunction/duties/lease_client.py
+++ b/citronjunction/duties/lease_client.py
@@ -57,7 +57,9 @@
         self.log = log
         self.is_peer_holder = is_peer_holder
         own_name = f'{name}/{uuid.uuid4().hex[:8]}'
-        self.lease = leases.Lease(own_name, settings.lease_s, settings.margin_s)
+        self.lease = leases.Lease(
+            own_name, settings.lease_s, settings.margin_s, name
+        )
         self.formats = formats.FormatCheck(KIND)
         self.has_pending_call = False
         self.is_releasing = False
--- a/citronjunction/leases/models.py
+++ b/citronjunction/leases/models.py
@@ -71,6 +71,7 @@
         'epoch',
         'era',
         'expires_at',
+        'host',
         'is_acquiring',
         'is_uncertain',
         'margin_s',
@@ -86,14 +87,21 @@
     )
 
     def __init__(
-        self, own_name: str, duration_s: float, margin_s: float
+        self,
+        own_name: str,
+        duration_s: float,
+        margin_s: float,
+        host: str = '',
     ) -> None:
         """Build a lease that is not held.
 
         ``own_name`` has to be unique to this start of the process. The lease
-        counts as lost ``margin_s`` before it expires.
+        counts as lost ``margin_s`` before it expires. A ``host`` that runs one
+        process at a time begins the names of all its processes, followed by a
+        slash; a lease of an earlier one can be taken over at once.
         """
         self.own_name = own_name
+        self.host = host
         self.duration_s = duration_s
         self.margin_s = margin_s
         self.era = 0
@@ -205,6 +213,12 @@
             return False
         return record.holder == self.own_name
 
+    def _is_of_predecessor(self) -> bool:
+        """Return whether a process that this one replaces was the holder."""
+        if not self.host or self._is_own():
+            return False
+        return self.record.holder.startswith(f'{self.host}/')
+
     def _is_current(self) -> bool:
         """Return whether the record was written in the current era."""
         return self.record is not None and self.record.era == self.era
@@ -262,7 +276,7 @@
         self.expires_at = self.sent_at + self.duration_s
 
     def _may_take_over(self, now: float) -> bool:
-        if self.record.is_released:
+        if self.record.is_released or self._is_of_predecessor():
             return True
         return now - self.observed_at > self.record.duration_s
 
--- a/tests/duties/test_duties.py
+++ b/tests/duties/test_duties.py
@@ -249,3 +249,18 @@
     (second,) = find_holder(deployed)
     assert second != first
     check_fences(deployed)
+
+
+def test_restarted_holder_resumes_its_duties_without_a_wait(deployed):
+    (first,) = find_holder(deployed)
+    epoch = deployed.gateways[first].lease_client.lease.epoch
+    for name in deployed.gateways:
+        deployed.gateway_hosts[name].kill()
+    deployed.world.run(0.5)
+    for name in tuple(deployed.gateways):
+        deployed.start_again(name)
+    deployed.world.run(2)
+
+    assert find_holder(deployed) == [first]
+    assert deployed.gateways[first].lease_client.lease.epoch == epoch + 1
+    check_fences(deployed)
--- a/tests/leases/test_models.py
+++ b/tests/leases/test_models.py
@@ -24,16 +24,17 @@
 
 
 class Leasing(stateful.RuleBasedStateMachine):
-    """Three nodes, a store whose answers may be lost, and any pauses."""
+    """Three nodes, a store whose answers may be lost, pauses and restarts."""
 
     def __init__(self):
         super().__init__()
         self.now = 0.0
         self.store = Store()
         self.leases = [
-            models.Lease(f'n{number}', DURATION_S, MARGIN_S)
+            models.Lease(f'n{number}/0', DURATION_S, MARGIN_S, f'n{number}')
             for number in range(3)
         ]
+        self.starts = 0
         self.epochs = []
 
     @stateful.rule(
@@ -57,6 +58,14 @@
                 version = str(self.store.version) if self.store.version else ''
                 lease.apply_read(self.store.record, version, self.now)
 
+    @stateful.rule(pick=st.integers(0, 2))
+    def restart(self, pick):
+        self.starts += 1
+        host = f'n{pick}'
+        self.leases[pick] = models.Lease(
+            f'{host}/{self.starts}', DURATION_S, MARGIN_S, host
+        )
+
     @stateful.rule(seconds=st.floats(0, 5))
     def wait(self, seconds):
         self.now += seconds
@@ -134,3 +143,28 @@
     other = models.Lease('n2', DURATION_S, MARGIN_S)
     acquire(other, store, 1)
     assert other.is_held(1)
+
+
+def test_successor_of_a_killed_holder_takes_over_at_once():
+    store = Store()
+    acquire(models.Lease('n1/a', DURATION_S, MARGIN_S, 'n1'), store, 0)
+    successor = models.Lease('n1/b', DURATION_S, MARGIN_S, 'n1')
+    acquire(successor, store, 1)
+    assert successor.is_held(1)
+    assert successor.epoch == 2
+
+
+def test_other_host_whose_name_begins_alike_waits():
+    store = Store()
+    acquire(models.Lease('n12/a', DURATION_S, MARGIN_S, 'n12'), store, 0)
+    other = models.Lease('n1/b', DURATION_S, MARGIN_S, 'n1')
+    other.apply_read(store.record, '1', 1)
+    assert isinstance(other.decide(1), models.Read)
+
+
+def test_process_without_a_host_waits_for_its_predecessor():
+    store = Store()
+    acquire(models.Lease('n1/a', DURATION_S, MARGIN_S), store, 0)
+    successor = models.Lease('n1/b', DURATION_S, MARGIN_S)
+    successor.apply_read(store.record, '1', 1)
+    assert isinstance(successor.decide(1), models.Read)
