Duties: a dry reclaim wave stops no worker that is needed; every entry measures the demand

Change: short data centres carry no share, a surplus stays until the others' workers have started, on-demand workers make up for as many more losses as data centres are short, and entries that serve measure the demand also without the lease.

--- a/citronjunction/duties/autoscaling.py
+++ b/citronjunction/duties/autoscaling.py
@@ -47,26 +47,40 @@
     def step(self, get_fence: abc.Callable[[], models.Fence | None]) -> None:
         """Decide and send the orders that are due."""
         now = self.services.timers.now()
+        for scaler, state in self._measure_due(now):
+            for order in scaler.decide(state, now):
+                self._send(scaler, order, get_fence, now)
+
+    def observe(self) -> None:
+        """Measure the demand while another entry sends the orders."""
+        now = self.services.timers.now()
+        for scaler, state in self._measure_due(now):
+            scaler.observe(state, now)
+
+    def _measure_due(
+        self, now: float
+    ) -> list[tuple[scaling.Scaler, scaling.UpstreamState]]:
+        """Return the state of each scaled upstream if a decision is due."""
         if (
             now - self.stepped_at < DECISION_INTERVAL_S
             or not self.services.configuration
             or not self.services.fleet.evacuations.is_known
         ):
-            return
+            return []
         self.stepped_at = now
-        for name, policy in self.services.configuration.upstreams.items():
-            if policy.scaling is not None:
-                self._step_upstream(name, policy.scaling, get_fence, now)
+        return [
+            (
+                self.scalers.setdefault(name, scaling.Scaler(name)),
+                self._build_state(name, policy.scaling, now),
+            )
+            for name, policy in self.services.configuration.upstreams.items()
+            if policy.scaling is not None
+        ]
 
-    def _step_upstream(
-        self,
-        name: str,
-        limits: gateway.Scaling,
-        get_fence: abc.Callable[[], models.Fence | None],
-        now: float,
-    ) -> None:
-        scaler = self.scalers.setdefault(name, scaling.Scaler(name))
-        state = scaling.UpstreamState(
+    def _build_state(
+        self, name: str, limits: gateway.Scaling, now: float
+    ) -> scaling.UpstreamState:
+        return scaling.UpstreamState(
             limits,
             self._count_workers(name, is_stable=True),
             self._measure_demand(name, now),
@@ -75,8 +89,6 @@
             closed_zones=self.services.fleet.evacuations.by_zone,
             has_callers=self.get_offered(name) > 0,
         )
-        for order in scaler.decide(state, now):
-            self._send(scaler, order, get_fence, now)
 
     def _count_workers(
         self, upstream: str, *, is_stable: bool
@@ -124,7 +136,7 @@
             zone=order.zone,
             is_reclaimable=order.is_reclaimable,
             count=order.count,
-            peak_tokens_per_s=round(scaler.peak),
+            peak_tokens_per_s=round(scaler.demand.peak),
             token=fence.token,
         )
         self.cloud.order_workers(
--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -9,19 +9,14 @@
 import math
 from collections import abc
 
-from citronjunction.duties import models
+from citronjunction.duties import demand, models, spreading
 from citronjunction.gateway import models as gateway
 
-TARGET_WORKER_TOKENS_PER_S = 18000.0  # prompt tokens, at the planned load
-MAX_WORKER_TOKENS_PER_S = 34000.0  # prompt tokens; above, first tokens are late
-MIN_OBSERVATION_S = 12.0  # before the measured demand replaces the estimate
 # Time without a new registration after which all running workers are known.
 SETTLE_S = 1.0
 WORKERS_PER_ON_DEMAND = 2.0  # assumed need per on-demand worker at the start
-PEAK_DECAY_S = 25.0  # time constant of the decay of a past peak of demand
 SHORTAGE_S = 2.0  # after REFUSAL_PAUSE_S, until capacity counts as restored
 REFUSAL_PAUSE_S = 1.5  # before refused reclaimable workers are ordered again
-SHRINK_DELAY_S = 8.0  # a smaller need must last this long, as a boot takes 4 s
 BOOT_MARGIN_S = 2.0  # from a worker's start until its registration is seen
 ORDER_RETRY_S = 6.0  # an order is repeated if its workers have not started
 
@@ -81,17 +76,13 @@
     __slots__ = (
         'assumed_need',
         'closed_zones',
-        'demand_since',
+        'demand',
         'found_workers',
         'has_trial',
         'largest_total',
         'last_growth_at',
         'name',
-        'need',
-        'need_at',
         'on_trial',
-        'peak',
-        'peak_at',
         'refused_until',
         'reopened_at',
         'sent',
@@ -103,17 +94,13 @@
         self.name = name
         self.sent: dict[tuple[str, bool], SentOrder] = {}
         self.refused_until: dict[str, float] = {}
-        self.peak: float = 0
-        self.peak_at: float = 0
-        self.demand_since: float | None = None
+        self.demand = demand.Demand()
         self.assumed_need = 0
         # Workers in use when this entry became the holder.
         self.found_workers = 0
         self.largest_total = 0
         self.last_growth_at: float = 0
         self.started_at: float | None = None
-        self.need = 0
-        self.need_at: float = 0
         self.has_trial = False
         self.on_trial: dict[tuple[str, bool], int] = {}
         self.trial_changed_at: float = 0
@@ -139,6 +126,20 @@
             if self._is_due(state, key, count, now)
         ]
 
+    def observe(self, state: UpstreamState, now: float) -> None:
+        """Record the demand while another entry is the holder.
+
+        Orders that this entry sent are forgotten, as others replace them. Only
+        the latest estimate counts, as the holder replaces workers at the start.
+        """
+        if self.demand.since is None:
+            self.assumed_need = 0
+        self._record_demand(state, now)
+        self._record_trial(state, now)
+        self._record_closed(state, now)
+        self.demand.update_need(self.assumed_need, now)
+        self.sent.clear()
+
     def record_sent(self, order: models.WorkerOrder, now: float) -> None:
         """Record that an order was sent."""
         key = (order.zone, order.is_reclaimable)
@@ -184,7 +185,7 @@
         if self.started_at is None:
             self.started_at = now
         boot_s = state.scaling.boot_s + BOOT_MARGIN_S
-        if self.demand_since is not None or now - self.started_at > boot_s:
+        if self.demand.since is not None or now - self.started_at > boot_s:
             return True
         total = _count_ready(state)
         if total > self.largest_total:
@@ -193,7 +194,7 @@
         return self.largest_total > 0 and now - self.last_growth_at >= SETTLE_S
 
     def _record_demand(self, state: UpstreamState, now: float) -> None:
-        if self.demand_since is None and not self.sent:
+        if self.demand.since is None and not self.sent:
             self.assumed_need = max(
                 self.assumed_need, _estimate_start_need(state)
             )
@@ -201,14 +202,8 @@
                 self.found_workers = max(
                     self.found_workers, _count_ready(state)
                 )
-        demand = state.tokens_per_s
-        if demand is None:
-            return
-        if self.demand_since is None:
-            self.demand_since = now
-        decayed = self.peak * math.exp((self.peak_at - now) / PEAK_DECAY_S)
-        self.peak = max(demand, decayed)
-        self.peak_at = now
+        if state.tokens_per_s is not None:
+            self.demand.record(state.tokens_per_s, now)
 
     def _plan(
         self,
@@ -220,7 +215,8 @@
             zone for zone in scaling.prices if zone not in self.closed_zones
         ]
         zones = sorted(places, key=lambda zone: scaling.prices[zone])
-        reclaimable = _spread(self._get_need(now), zones, scaling)
+        short_zones = self._select_short_zones(now)
+        reclaimable = self._plan_reclaimable(state, zones, short_zones, now)
         retained = self._retain_on_demand(state, reclaimable, now)
         for zone, count in retained.items():
             reclaimable[zone] = min(reclaimable[zone], scaling.maximum - count)
@@ -229,10 +225,10 @@
             for zone, count in reclaimable.items()
         }
         wanted = {(zone, True): count for zone, count in reclaimable.items()}
-        min_workers = self._get_min_workers()
-        if self._is_capacity_short(now):
-            # Reclaims come in waves: plan for the loss of another data centre.
-            min_workers += max(expected.values(), default=0)
+        # Reclaims come in waves: plan for the loss of as many data centres more
+        # as are short of workers.
+        at_risk = sorted(expected.values(), reverse=True)[: len(short_zones)]
+        min_workers = self.demand.get_min_workers() + sum(at_risk)
         shortfall = max(0, min_workers - sum(expected.values()))
         for zone in zones:
             # Reclaimable workers that cannot be obtained take up no place.
@@ -245,12 +241,19 @@
             shortfall = max(0, shortfall - substitutes)
         return wanted
 
-    def _get_min_workers(self) -> int:
-        return math.ceil(self.peak / MAX_WORKER_TOKENS_PER_S)
-
-    def _is_demand_known(self, now: float) -> bool:
-        since = self.demand_since
-        return since is not None and now - since >= MIN_OBSERVATION_S
+    def _plan_reclaimable(
+        self,
+        state: UpstreamState,
+        zones: abc.Sequence[str],
+        short_zones: abc.Collection[str],
+        now: float,
+    ) -> dict[str, int]:
+        need = self.demand.update_need(self.assumed_need, now)
+        shares = spreading.spread(need, zones, short_zones, state.scaling)
+        started = {
+            zone: _count(state, zone, is_reclaimable=True) for zone in zones
+        }
+        return spreading.retain_surplus(shares, started)
 
     def _retain_on_demand(
         self,
@@ -263,8 +266,8 @@
         A new holder does not know the callers' peak. Until it has seen enough
         of them, it keeps as many workers as it found in use.
         """
-        min_workers = self._get_min_workers()
-        if not self._is_demand_known(now):
+        min_workers = self.demand.get_min_workers()
+        if not self.demand.is_known(now):
             min_workers = max(min_workers, self.found_workers)
         started = {
             zone: min(count, _count(state, zone, is_reclaimable=True))
@@ -287,10 +290,13 @@
             return sent.count
         return _count(state, zone, is_reclaimable=False)
 
-    def _is_capacity_short(self, now: float) -> bool:
-        return any(
-            now < until + SHORTAGE_S for until in self.refused_until.values()
-        )
+    def _select_short_zones(self, now: float) -> list[str]:
+        """Return the data centres that lately refused reclaimable workers."""
+        return [
+            zone
+            for zone, until in self.refused_until.items()
+            if now < until + SHORTAGE_S and zone not in self.closed_zones
+        ]
 
     def _count_expected(
         self,
@@ -311,15 +317,6 @@
         boot_s = state.scaling.boot_s + BOOT_MARGIN_S
         return current.ready if now - sent.at > boot_s else planned
 
-    def _get_need(self, now: float) -> int:
-        need = math.ceil(self.peak / TARGET_WORKER_TOKENS_PER_S)
-        if not self._is_demand_known(now):
-            need = max(need, self.assumed_need)
-        if need >= self.need or now - self.need_at > SHRINK_DELAY_S:
-            self.need = need
-            self.need_at = now
-        return self.need
-
     def _is_due(
         self,
         state: UpstreamState,
@@ -334,7 +331,7 @@
         sent = self.sent.get(key)
         if state.has_trial and not self._may_grow(current, count, now):
             return False
-        if count < current and now - self.reopened_at < SHRINK_DELAY_S:
+        if count < current and now - self.reopened_at < demand.SHRINK_DELAY_S:
             # What has just reopened may not carry its share yet.
             return False
         if sent is None:
@@ -368,21 +365,5 @@
     )
 
 
-def _spread(
-    need: int,
-    zones: list[str],
-    scaling: gateway.Scaling,
-) -> dict[str, int]:
-    """Divide workers evenly; the cheapest data centres get the remainder."""
-    share, remainder = divmod(need, max(1, len(zones)))
-    return {
-        zone: min(
-            max(share + (order < remainder), scaling.minimum),
-            scaling.maximum,
-        )
-        for order, zone in enumerate(zones)
-    }
-
-
 def _count(state: UpstreamState, zone: str, *, is_reclaimable: bool) -> int:
     return state.workers.get((zone, is_reclaimable), WorkerCount()).ready
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -280,6 +280,8 @@
         self._publish_lease()
         if self.lease_client.get_fence() is None:
             self.checkpoint.invalidate()
+            if not self.peers.roles.stands_by:
+                self.autoscaler.observe()
             return
         self.checkpoint.step(may_write=not self.reporter.doubtful)
         if self.checkpoint.is_certified:
--- a/tests/duties/test_evacuation_scaling.py
+++ b/tests/duties/test_evacuation_scaling.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from citronjunction.duties import models, scaling
+from citronjunction.duties import demand, models, scaling
 from citronjunction.gateway import models as gateway
 
 PRICES = {'a': 1.0, 'b': 0.8, 'c': 1.25, 'd': 0.9}
 LIMITS = gateway.Scaling(1, 6, 4.0, 0.18, PRICES)
-DEMAND = 8 * scaling.TARGET_WORKER_TOKENS_PER_S
+DEMAND = 8 * demand.TARGET_WORKER_TOKENS_PER_S
 STEP_S = 0.5
 
 
@@ -77,7 +77,7 @@
     platform.orders.clear()
     elsewhere = platform.count_open()
     platform.closed = set()
-    platform.run(scaling.SHRINK_DELAY_S - STEP_S)
+    platform.run(demand.SHRINK_DELAY_S - STEP_S)
     assert not platform.orders
     platform.run(30)
 
--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from citronjunction.duties import scaling
+from citronjunction.duties import demand, scaling
 from tests.support import scaled_platform
 
 
@@ -110,7 +110,7 @@
         fewest = min(fewest, total)
 
     assert count_before >= 3
-    assert fewest >= 200_000 / scaling.MAX_WORKER_TOKENS_PER_S
+    assert fewest >= 200_000 / demand.MAX_WORKER_TOKENS_PER_S
 
 
 def test_orders_are_limited_while_the_platform_refuses(started):
@@ -166,7 +166,7 @@
 
     total = started.count(is_reclaimable=True)
     total += started.count(is_reclaimable=False)
-    assert total * scaling.MAX_WORKER_TOKENS_PER_S >= 200_000
+    assert total * demand.MAX_WORKER_TOKENS_PER_S >= 200_000
 
 
 def lose_holder(platform, seconds, measured_after_s=2):
@@ -199,7 +199,7 @@
     started.run(6, tokens_per_s=200_000)
     count_before = count_all(started)
 
-    assert count_before >= 200_000 / scaling.MAX_WORKER_TOKENS_PER_S
+    assert count_before >= 200_000 / demand.MAX_WORKER_TOKENS_PER_S
     assert lose_holder(started, 8) >= count_before
 
 
--- a/tests/support/scaled_platform.py
+++ b/tests/support/scaled_platform.py
@@ -17,6 +17,7 @@
         self.running = dict(on_demand)
         self.starting = []
         self.refuses_reclaimable = False
+        self.dry_zones = set()
         self.has_callers = False
         # Fields of the state that a test adds.
         self.seen = {}
@@ -33,30 +34,37 @@
             if at <= self.now:
                 self.starting.remove((at, key, count))
                 self.running[key] = count
+        state = self.build_state(tokens_per_s)
+        for order in self.scaler.decide(state, self.now):
+            self.scaler.record_sent(order, self.now)
+            self.scaler.record_result(order, self._place(order), self.now)
+
+    def build_state(self, tokens_per_s):
         workers = {
             key: scaling.WorkerCount(count)
             for key, count in self.running.items()
         }
-        state = scaling.UpstreamState(
+        return scaling.UpstreamState(
             self.limits,
             workers,
             tokens_per_s,
             has_callers=self.has_callers,
             **self.seen,
         )
-        for order in self.scaler.decide(state, self.now):
-            self.scaler.record_sent(order, self.now)
-            self.scaler.record_result(order, self._place(order), self.now)
+
+    def replace_holder(self, observed_s, tokens_per_s):
+        """Let an entry decide that has only watched for some time."""
+        self.scaler = scaling.Scaler('llm')
+        for step in range(round(observed_s * 2)):
+            at = self.now - observed_s + step / 2
+            self.scaler.observe(self.build_state(tokens_per_s), at)
 
     def _place(self, order):
         self.orders.append((self.now, order))
         key = (order.zone, order.is_reclaimable)
         running = self.running.get(key, 0)
-        if (
-            self.refuses_reclaimable
-            and order.is_reclaimable
-            and order.count > running
-        ):
+        is_dry = self.refuses_reclaimable or order.zone in self.dry_zones
+        if is_dry and order.is_reclaimable and order.count > running:
             return models.CallResult.unobtainable
         if order.count < running:
             self.running[key] = order.count
