Choosing: workers that fail part of their requests get fewer

Cause: a worker that fails less than half of its requests is never ejected, and the choice between workers didn't look at failures.

--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -23,6 +23,9 @@
 SECOND_CHOICE_PENALTY_S = 0.1
 OTHER_ZONE_PENALTY_S = 0.002  # prefers workers of the entry's own data centre
 WARMUP_PENALTY_S = 0.2  # for a worker that is still slow after its start
+# For a worker that fails all requests. A failure costs callers more than a
+# first event that comes this much later.
+FAILURES_PENALTY_S = 2.0
 # Makes a worker whose registration vanished the last choice.
 ABSENT_PENALTY_S = 5.0
 
@@ -145,6 +148,7 @@
                 cost_s += CACHE_MISS_WEIGHT * cache_miss_s
             if worker.registration.zone != self.zone:
                 cost_s += OTHER_ZONE_PENALTY_S
+            cost_s += FAILURES_PENALTY_S * worker.health.get_failure_share(now)
             if cost_s < best_cost_s:
                 queue_s = (
                     worker.count_prefill_tokens(urgency) / PREFILL_TOKENS_PER_S
--- a/citronjunction/gateway/health.py
+++ b/citronjunction/gateway/health.py
@@ -21,6 +21,9 @@
 MIN_OUTLIER_FAILURES = 5
 # Usual error rates stay far below, even where a seventh of the reads fail.
 OUTLIER_FAILURE_SHARE = 0.5
+# Answers without failure that are assumed in addition, so that a single failure
+# says little.
+ASSUMED_ANSWERS = 4
 BACKOFF_RESET_S = 20.0  # time without failures that resets the ejection time
 
 
@@ -102,6 +105,14 @@
             return answers, failures
         return answers + self.evidence[0], failures + self.evidence[1]
 
+    def get_failure_share(self, now: float) -> float:
+        """Return the share of all entries' recent requests that failed."""
+        if not self.peer_failures and now - self.failed_at > WINDOW_S:
+            return 0
+        answers, failures = self.measure(now)
+        answers += self.peer_answers
+        return (failures + self.peer_failures) / (answers + ASSUMED_ANSWERS)
+
     def record_unreachable(self, now: float) -> None:
         """Record a failed connection attempt and eject the worker."""
         self.failed_at = now
