Pacing: waits for first events and learned limits follow how workers answer

Cause: the estimate of a prompt's wait knows the prefill queue only. A worker that starts or recovers had a fixed penalty of 0.2 s for a stated time, or none.

Change: [pacing] follows_answers. A first event that is overdue adds to the wait of its worker for requests that aren't more urgent, so that others are chosen, and prompts refused at once where all are behind. A worker that starts, or returns from absence, ejection, a pause or an evacuation, has an AIMD limit on an entry's requests, which rises with answers on time and ends when it is reached or not needed.

--- a/citronjunction/conf/models.py
+++ b/citronjunction/conf/models.py
@@ -255,6 +255,11 @@
     cold_slack: Amount = describe(
         'requests a second in addition to the ratio', 0
     )
+    follows_answers: bool = describe(
+        'whether late first events of a worker keep requests away from it, and'
+        ' limit them after it starts or recovers',
+        False,
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/citronjunction/gateway/choosing.py
+++ b/citronjunction/gateway/choosing.py
@@ -76,6 +76,7 @@
         usable = self._select(upstream, tried, now, allows)
         if not usable:
             return None
+        usable = _prefer_unlimited(usable, now)
         if prompt is None:
             return self._choose_plain(usable, now)
         return self._choose_for_prompt(usable, prompt, urgency, now)
@@ -136,6 +137,8 @@
                 fleet.URGENCY_GROUPS - 1
             )
             wait_s = prefill_ahead / PREFILL_TOKENS_PER_S
+            overdue_s = worker.pace.get_overdue_s(urgency, now)
+            wait_s += overdue_s
             wait_s += self._estimate_prefill_s(worker, prompt, now)
             cost_s = wait_s
             prefill_tokens = prompt.prompt_tokens
@@ -152,6 +155,7 @@
             if cost_s < best_cost_s:
                 queue_s = (
                     worker.count_prefill_tokens(urgency) / PREFILL_TOKENS_PER_S
+                    + overdue_s
                 )
                 best = Candidate(worker, wait_s, queue_s, prefill_tokens)
                 best_cost_s = cost_s
@@ -181,11 +185,21 @@
         penalty_s: float = 0
         if worker.is_absent:
             penalty_s += ABSENT_PENALTY_S
-        if now < worker.warming_until:
+        if now < worker.warming_until and worker.pace.learned is None:
             penalty_s += WARMUP_PENALTY_S
         return penalty_s
 
 
+def _prefer_unlimited(
+    usable: list[fleet.Worker], now: float
+) -> list[fleet.Worker]:
+    """Return the workers below their learned limit, or all if none is."""
+    below = [
+        worker for worker in usable if worker.pace.permits(worker.running, now)
+    ]
+    return below or usable
+
+
 def rank_by_affinity(
     key: str,
     workers: abc.Iterable[fleet.Worker],
--- a/citronjunction/gateway/counting.py
+++ b/citronjunction/gateway/counting.py
@@ -57,6 +57,13 @@
     worker: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class PaceChanged:
+    """A change of the limit of a worker that starts or recovers."""
+
+    state: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallerEnded:
     """A caller that was refused or cut off for a limit."""
@@ -71,6 +78,7 @@
     | ObjectRejected
     | EvacuationChanged
     | ColdRequest
+    | PaceChanged
     | CallerEnded
 )
 
@@ -111,12 +119,8 @@
 
     def _count(self, event: Event) -> None:
         match event:
-            case RequestEnded(
-                outcome=outcome, route_kind=kind, duration_s=seconds
-            ):
-                labels = {'outcome': outcome, 'route': kind}
-                self.metrics.requests.add(1, labels)
-                self.metrics.request_duration.record(seconds, labels)
+            case RequestEnded():
+                self._count_end(event)
             case RequestRetried(evidence=evidence):
                 self.metrics.retries.add(1, {'evidence': evidence})
             case KindSkipped(kind=kind):
@@ -125,11 +129,23 @@
                 self.metrics.rejected_objects.add(1, {'kind': kind})
             case EvacuationChanged(change=change):
                 self.metrics.evacuations.add(1, {'change': change})
+            case CallerEnded(limit=limit):
+                self.metrics.ended_callers.add(1, {'limit': limit})
+            case _:
+                self._count_pace(event)
+
+    def _count_end(self, event: RequestEnded) -> None:
+        labels = {'outcome': event.outcome, 'route': event.route_kind}
+        self.metrics.requests.add(1, labels)
+        self.metrics.request_duration.record(event.duration_s, labels)
+
+    def _count_pace(self, event: ColdRequest | PaceChanged) -> None:
+        match event:
             case ColdRequest(worker=worker):
                 label = self._label_worker(worker)
                 self.metrics.cold_requests.add(1, {'worker': label})
-            case CallerEnded(limit=limit):
-                self.metrics.ended_callers.add(1, {'limit': limit})
+            case PaceChanged(state=state):
+                self.metrics.pace_changes.add(1, {'state': state})
 
     def _label_worker(self, worker: str) -> str:
         """Return a worker's label; late ones of very many share one."""
--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -36,6 +36,8 @@
         new_attempt.pending_prefill_tokens = candidate.prefill_tokens
         new_attempt.prefill_tokens = candidate.prefill_tokens
         worker.prefill_tokens[flow.urgency] += candidate.prefill_tokens
+    if flow.services.settings.pacing.follows_answers:
+        _expect_first_event(flow, new_attempt, candidate, now)
     call = flow.services.codec.encode_call(
         flow.request,
         assigning.build_assignment(
@@ -50,6 +52,20 @@
     new_attempt.call = flow.services.client.send(call, new_attempt)
 
 
+def _expect_first_event(
+    flow: 'flows.Flow',
+    source: attempt.Attempt,
+    candidate: choosing.Candidate,
+    now: float,
+) -> None:
+    if flow.response.is_started:
+        return
+    expected_s = candidate.wait_s
+    if flow.request.prompt is None:
+        expected_s = flow.route.latency_target_s / 2
+    source.worker.pace.expect(source, flow.urgency, expected_s, now)
+
+
 def resume(
     flow: 'flows.Flow', worker: fleet.Worker, now: float, kv_source: str
 ) -> None:
--- a/citronjunction/gateway/evacuating.py
+++ b/citronjunction/gateway/evacuating.py
@@ -81,7 +81,7 @@
                 waited_s=bound_s,
             )
         for zone in sorted(self.busy):
-            if not self.services.fleet.count_running(zone):
+            if not self._count_running(zone):
                 self.busy.discard(zone)
                 since = self.state.by_zone[zone].since
                 self.services.log.write(
@@ -102,8 +102,8 @@
             'evacuation begun',
             order.zone,
             revision=order.revision,
-            workers=self.services.fleet.count_workers(order.zone),
-            running=self.services.fleet.count_running(order.zone),
+            workers=len(self.services.fleet.select_zone(order.zone)),
+            running=self._count_running(order.zone),
         )
 
     def _end(self, ended: models.Evacuation) -> None:
@@ -118,9 +118,13 @@
                 zone,
                 revision=ended.order.revision,
                 lasted_s=round(self._now() - ended.since, 3),
-                workers=self.services.fleet.count_workers(zone),
+                workers=len(self.services.fleet.select_zone(zone)),
             )
 
+    def _count_running(self, zone: str) -> int:
+        workers = self.services.fleet.select_zone(zone)
+        return sum(worker.running for worker in workers)
+
     def _count(self, change: str) -> None:
         self.services.counts.record(counting.EvacuationChanged(change))
 
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -12,7 +12,7 @@
     limits,
     models,
 )
-from citronjunction.pacing import pacer as pacing, roster
+from citronjunction.pacing import pacer as pacing, roster, worker_pace
 
 # Time for which a worker is still used after its registration vanished; must
 # stay below the time within which a draining worker has to be out of use.
@@ -64,6 +64,9 @@
     cold_until: float = 0
     is_peer: bool = False
     heard_at: float = 0
+    pace: worker_pace.WorkerPace = dataclasses.field(
+        default_factory=worker_pace.WorkerPace
+    )
 
     @property
     def is_draining(self) -> bool:
@@ -97,6 +100,7 @@
         'by_upstream',
         'departures',
         'evacuations',
+        'follows_answers',
         'leaving',
         'limits',
         'pacer',
@@ -115,6 +119,8 @@
         self.by_upstream: dict[str, list[Worker]] = {}
         self.evacuations = evacuations.Evacuations()
         self.limits = limits.RateLimits()
+        # Whether workers that start or recover are limited at first.
+        self.follows_answers = False
         self.brittleness = brittleness.Brittleness()
 
     def register(
@@ -135,7 +141,7 @@
             self.expect_cold(known, now)
         elif registration.started_at_ms < known.registration.started_at_ms:
             return known
-        elif _has_other_upstream(known.registration, registration):
+        elif known.registration.upstream != registration.upstream:
             known.registration = registration
             self._index()
         if known.is_draining:
@@ -157,10 +163,16 @@
         """Assume that a worker has just become cold."""
         cold_s = self.pacer.get_cold_s(worker.registration.upstream)
         worker.cold_until = max(worker.cold_until, now + cold_s)
+        self.begin_pace(worker, now)
+
+    def begin_pace(self, worker: Worker, now: float) -> None:
+        """Limit the requests to a worker that starts or recovers."""
+        if self.follows_answers:
+            worker.pace.begin(worker.registration.slots, now)
 
     def expect_cold_zone(self, zone: str, now: float) -> None:
         """Assume that the workers of a data centre have just become cold."""
-        for worker in self._select_zone(zone):
+        for worker in self.select_zone(zone):
             self.expect_cold(worker, now)
 
     def needs_peer(self, upstream: str) -> bool:
@@ -230,13 +242,13 @@
         is_closed = all(map(self.is_closed, staying))
         return self.evacuations.is_known and bool(staying) and is_closed
 
-    def count_workers(self, zone: str) -> int:
-        """Return the number of workers of a data centre."""
-        return len(self._select_zone(zone))
-
-    def count_running(self, zone: str) -> int:
-        """Return this entry's requests at the workers of a data centre."""
-        return sum(worker.running for worker in self._select_zone(zone))
+    def select_zone(self, zone: str) -> list[Worker]:
+        """Return the workers of a data centre."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.registration.zone == zone
+        ]
 
     def get_wait_s(self, worker: Worker, now: float) -> float:
         """Return the time until a worker's pause, limit and pace permit one."""
@@ -356,13 +368,6 @@
             now,
         )
 
-    def _select_zone(self, zone: str) -> list[Worker]:
-        return [
-            worker
-            for worker in self.workers.values()
-            if worker.registration.zone == zone
-        ]
-
     def _replace(self, worker: Worker) -> None:
         earlier = self.workers.get(worker.registration.name)
         if earlier is not None:
@@ -390,9 +395,3 @@
     registration: models.WorkerRegistration,
 ) -> bool:
     return registration.started_at_ms <= leaving.get(registration.name, -1)
-
-
-def _has_other_upstream(
-    old: models.WorkerRegistration, new: models.WorkerRegistration
-) -> bool:
-    return old.upstream != new.upstream
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -373,6 +373,7 @@
             source.pending_prefill_tokens
         )
         source.pending_prefill_tokens = 0
+        outcomes.settle_first_event(self.services, source)
 
     def _count_run(self) -> None:
         if not self.is_run_counted:
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -6,10 +6,12 @@
 from citronjunction.gateway import (
     attempt,
     context,
+    counting,
     evidence,
     fleet,
     models,
 )
+from citronjunction.pacing import worker_pace
 
 # Prompt tokens to prefill; latencies are compared only within a size class.
 PREFILL_SIZE_BOUNDS = (512, 4096)
@@ -40,6 +42,7 @@
     if answer.retry_after_s is not None:
         until = services.timers.now() + answer.retry_after_s
         worker.paused_until = max(worker.paused_until, until)
+        services.fleet.begin_pace(worker, until)
         services.log.write(
             'pause worker',
             registration.name,
@@ -54,6 +57,19 @@
     return is_stated and not answer.is_misdirected
 
 
+def settle_first_event(
+    services: context.Services, source: attempt.Attempt
+) -> None:
+    """Record that the first event of an attempt is due no longer."""
+    worker = source.worker
+    if source.answer is None or not source.answer.is_success:
+        worker.pace.forget(source)
+        return
+    now = services.timers.now()
+    change = worker.pace.record_answer(source, worker.running, now)
+    _log_pace(services, worker, change)
+
+
 def record_answer(
     services: context.Services,
     route: models.Route,
@@ -122,6 +138,7 @@
 ) -> None:
     worker = source.worker
     now = services.timers.now()
+    _log_pace(services, worker, worker.pace.record_failure(now))
     match failed.evidence:
         case evidence.Evidence.may_have_run:
             services.rollouts.record(worker, route.name, is_good=False)
@@ -184,11 +201,35 @@
         record_time(source.worker, route.name, typical_s=latency_s)
 
 
+def _log_pace(
+    services: context.Services,
+    worker: fleet.Worker,
+    change: worker_pace.Change,
+) -> None:
+    match change:
+        case worker_pace.Reduced(limit=limit):
+            state = 'reduced'
+        case worker_pace.Learned(limit=limit):
+            state = 'learned'
+        case _:
+            return
+    services.counts.record(counting.PaceChanged(state))
+    services.log.write(
+        'worker pace',
+        worker.registration.name,
+        upstream=worker.registration.upstream,
+        state=state,
+        limit=round(limit, 2),
+        running=worker.running,
+    )
+
+
 def _log_ejection(
     services: context.Services,
     worker: fleet.Worker,
     reason: str,
 ) -> None:
+    services.fleet.begin_pace(worker, services.timers.now())
     services.log.write(
         'eject',
         worker.registration.name,
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -228,6 +228,10 @@
     def on_synced(self, kind: str) -> None:
         """Log that the objects of a kind are completely listed."""
         self.services.log.write('synced', kind)
+        if kind == self.decoder.worker_kind:
+            # Workers listed before may have run for long.
+            settings = self.services.settings.pacing
+            self.services.fleet.follows_answers = settings.follows_answers
         if kind == self.decoder.evacuation_kind:
             self.evacuating.on_listed()
 
--- a/citronjunction/observability/metrics.py
+++ b/citronjunction/observability/metrics.py
@@ -56,6 +56,10 @@
             'citron_cold_requests',
             description='requests to workers that are known to be cold',
         )
+        self.pace_changes = meter.create_counter(
+            'citron_pace_changes',
+            description='limits of starting workers that were reduced or ended',
+        )
         self.ended_callers = meter.create_counter(
             'citron_ended_callers',
             description='callers refused or cut off, by limit',
