Gateway: lost answers of the watches of all kinds are noticed

The probe read one object, and only while no kind at all was answered.

Change: the probe lists, by the cheap call, the kind that was silent longest, one a second as before, and starts its mirror anew if it differs. A probe that fails counts only if no other call was answered within the second. Decoder and Adapter moved to gateway/adapters.py.

--- a/citronjunction/commands/gateway.py
+++ b/citronjunction/commands/gateway.py
@@ -11,7 +11,7 @@
 from citronjunction.commands import common
 from citronjunction.conf import budgets, loader
 from citronjunction.conf import models as conf
-from citronjunction.gateway import node, scraping
+from citronjunction.gateway import adapters, node, scraping
 from citronjunction.observability import output
 from citronjunction.platform import (
     cloud,
@@ -41,7 +41,7 @@
         settings.platform.object_api,
         store_eras,
     )
-    adapter = node.Adapter(
+    adapter = adapters.Adapter(
         request_codec.PlatformCodec(),
         object_decoder.PlatformDecoder(),
         store,
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -1,7 +1,5 @@
 """A gateway process: wires data plane, directory, peers and duties."""
 
-import dataclasses
-
 from citronjunction.budgeting import caller_log, ledger
 from citronjunction.budgeting import models as budgets
 from citronjunction.conf import models as conf
@@ -10,19 +8,18 @@
     checkpoint,
     clock,
     lease_client,
-    models as duties,
     reporting,
     rollout_reporting,
     usage,
 )
 from citronjunction.gateway import (
+    adapters,
     announcing,
     application,
     assembling,
     counting,
     forwarding,
     peer_exchange,
-    ports,
     quota_logging,
     relocation,
     stopping,
@@ -32,7 +29,6 @@
 from citronjunction.membership import facts, messages
 from citronjunction.observability import decisions
 from citronjunction.peering import node
-from citronjunction.store import eras, records
 from citronjunction.transport import http_server, links, runtime
 
 EXPIRE_INTERVAL_S = 0.5  # between removals of silent peers
@@ -41,18 +37,6 @@
 DUTIES_DELAY_S = 1.1
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Adapter:
-    """Implementations of the gateway's ports for a platform."""
-
-    codec: ports.Codec
-    decoder: watching.Decoder
-    store: records.Store
-    eras: eras.Eras
-    cloud: duties.Cloud
-    mover: relocation.Mover
-
-
 class GatewayNode:
     """Run a gateway in a process.
 
@@ -63,7 +47,7 @@
         self,
         loop: runtime.Runtime,
         settings: conf.Settings,
-        adapter: Adapter,
+        adapter: adapters.Adapter,
     ) -> None:
         self.loop = loop
         self.settings = settings
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -1,9 +1,9 @@
 """Watches of the platform's store for configuration, workers, rollouts."""
 
 from collections import abc
-from typing import Protocol
 
 from citronjunction.gateway import (
+    adapters,
     adopting,
     context,
     departures,
@@ -18,41 +18,6 @@
 REVIVE_INTERVAL_S = 0.5  # between checks that the mirrors go on
 
 
-class Decoder(evacuating.Decoder, Protocol):
-    """Decode stored objects into the types of the gateway.
-
-    The decode methods return None for objects that they cannot decode.
-    """
-
-    configuration_kind: str
-    configuration_name: str
-    worker_kind: str
-    rollout_kind: str
-
-    def decode_configuration(self, spec: object) -> models.Configuration | None:
-        """Decode the configuration."""
-
-    def decode_worker(
-        self,
-        name: str,
-        spec: object,
-    ) -> models.WorkerRegistration | None:
-        """Decode a worker's registration."""
-
-    def decode_rollout(
-        self,
-        record: records.Record,
-    ) -> models.Rollout | None:
-        """Decode a request to move an upstream to a version."""
-
-    def encode_rollout_status(
-        self,
-        target: str,
-        state: models.RolloutState,
-    ) -> dict[str, object]:
-        """Encode the status of a rollout for the store."""
-
-
 def _do_nothing(kind: str) -> None:
     """Ignore the call until a callback is set."""
 
@@ -65,7 +30,7 @@
         services: context.Services,
         store: records.Store,
         store_eras: eras.Eras,
-        decoder: Decoder,
+        decoder: adapters.Decoder,
         on_configuration: abc.Callable[[], None],
     ) -> None:
         """Build the mirrors of the store.
@@ -101,16 +66,7 @@
             on_configuration,
         )
         store_eras.subscribe(self._begin_era)
-        self.probe = probing.Probe(
-            store,
-            services.timers,
-            decoder.configuration_kind,
-            decoder.configuration_name,
-            self._on_probe,
-            self._get_answered_at,
-        )
-        if services.settings.evacuations.is_followed:
-            self.probe.short_kind = decoder.evacuation_kind
+        self.probes = self._build_probes(store)
         self.is_suspended = False
         self.is_following = False
         self.rejections = rejections.Rejections(services)
@@ -132,7 +88,8 @@
         """Start all mirrors."""
         for kind_mirror in self.mirrors.values():
             kind_mirror.start()
-        self.probe.start()
+        for probe in self.probes:
+            probe.start()
         self.services.timers.call_every(REVIVE_INTERVAL_S, self._revive)
 
     def set_following(self, *, is_following: bool) -> None:
@@ -141,7 +98,8 @@
         The calls of a fleet to the store then do not grow with its size.
         """
         self.is_following = is_following
-        self.probe.is_paused = is_following
+        for probe in self.probes:
+            probe.is_paused = is_following
         self.is_suspended = False
         for kind_mirror in self.mirrors.values():
             if is_following:
@@ -283,16 +241,35 @@
         for record in self.mirrors[self.decoder.worker_kind].records.values():
             self._apply_worker(record)
 
-    def _get_answered_at(self) -> float:
-        if self.probe.short_kind:
-            # The answers to its watch may be lost while others arrive.
-            return self.mirrors[self.probe.short_kind].answered_at
-        return max(
+    def _build_probes(self, store: records.Store) -> list[probing.Probe]:
+        """Return a probe of all kinds; one of evacuations, whose bound is short."""
+        by_urgency = [
+            [self.mirrors[kind] for kind in kinds]
+            for kinds in (
+                self.mirrors.keys() - {self.decoder.evacuation_kind},
+                self.mirrors.keys() & {self.decoder.evacuation_kind},
+            )
+        ]
+        return [
+            probing.Probe(store, self.services.timers, checked, self._on_probe)
+            for checked in by_urgency
+            if checked
+        ]
+
+    def _has_fresh_answer(self) -> bool:
+        """Return whether the store has just answered another call."""
+        answered_at = max(
             kind_mirror.answered_at for kind_mirror in self.mirrors.values()
         )
+        now = self.services.timers.now()
+        return now - answered_at < probing.INTERVAL_S
 
-    def _on_probe(self, result: probing.Result) -> None:
+    def _on_probe(
+        self, probed: mirror.Mirror, result: records.ListResult
+    ) -> None:
         match result:
+            case records.Unavailable() if self._has_fresh_answer():
+                return
             case records.Unavailable(reason=reason):
                 if not self.is_suspended:
                     self.services.log.write('store probe failed', reason)
@@ -304,7 +281,7 @@
                 for kind_mirror in self.mirrors.values():
                     kind_mirror.start()
             case records.Page():
-                self.mirrors[self.probe.short_kind].check_changes(result)
+                probed.check_changes(result)
 
     def _get_grace_s(self, worker: fleet.Worker) -> float:
         now = self.services.timers.now()
@@ -351,7 +328,6 @@
         known = services.fleet.workers.get(registration.name)
         before = known and known.registration
         was_draining = known is not None and known.is_draining
-        now = services.timers.now()
         was_cold = known is not None and services.fleet.is_cold(known, now)
         worker = services.fleet.register(registration, now)
         if services.fleet.is_cold(worker, now) and not was_cold:
--- a/citronjunction/platform/object_store.py
+++ b/citronjunction/platform/object_store.py
@@ -74,16 +74,6 @@
             'GET', _build_path(kind, name), None, _RecordDecoder(on_read)
         )
 
-    def read_stale(
-        self,
-        kind: str,
-        name: str,
-        on_read: records.OnRead,
-    ) -> None:
-        """Read one object, possibly some seconds out of date, at less cost."""
-        path = _build_path(kind, name, {'serializable': '1'})
-        self._call('GET', path, None, _RecordDecoder(on_read))
-
     def list_stale(self, kind: str, on_list: records.OnList) -> None:
         """List a page of a kind, possibly out of date, at less cost."""
         path = _build_path(kind, query={'serializable': '1'})
--- a/citronjunction/store/probing.py
+++ b/citronjunction/store/probing.py
@@ -1,28 +1,26 @@
-"""Health probe of the store."""
+"""Probes of the store, and checks of mirrors that it hasn't answered lately."""
 
 from collections import abc
 
-from citronjunction.store import records
+from citronjunction.store import mirror, records
 from citronjunction.transport import timer_queue
 
-Result = records.ReadResult | records.ListResult
 INTERVAL_S = 1.0  # a hanging watch alone would go unnoticed for longer
 
 
 class Probe:
-    """Read one object periodically with the cheapest call, unless paused.
+    """List the kind that was silent longest with the cheapest call, in turn.
 
-    With ``short_kind``, list that kind instead, which must have few objects.
+    A watch that waits can't be told from one that hangs, nor from one whose
+    answer was lost. Unless paused, one kind is listed each second.
     """
 
     __slots__ = (
-        'get_answered_at',
+        'checked_at',
         'is_paused',
         'is_pending',
-        'kind',
-        'name',
+        'mirrors',
         'on_result',
-        'short_kind',
         'store',
         'timers',
     )
@@ -31,23 +29,16 @@
         self,
         store: records.Store,
         timers: timer_queue.TimerQueue,
-        kind: str,
-        name: str,
-        on_result: abc.Callable[[Result], None],
-        get_answered_at: abc.Callable[[], float],
+        mirrors: abc.Sequence[mirror.Mirror],
+        on_result: abc.Callable[[mirror.Mirror, records.ListResult], None],
     ) -> None:
-        """Set the object to read and the callback for results.
-
-        ``get_answered_at`` returns the monotonic time of the last answer of the
-        store to any other call.
-        """
+        """Set the mirrors to check and the callback for results."""
         self.store = store
         self.timers = timers
-        self.kind = kind
-        self.name = name
+        self.mirrors = mirrors
         self.on_result = on_result
-        self.get_answered_at = get_answered_at
-        self.short_kind = ''
+        # When a kind was listed last, to take turns.
+        self.checked_at: dict[str, float] = {}
         self.is_pending = False
         self.is_paused = False
 
@@ -58,14 +49,22 @@
     def _probe(self) -> None:
         if self.is_pending or self.is_paused:
             return
-        # A recent answer to another call shows as well that the store is up.
-        if self.timers.now() - self.get_answered_at() >= INTERVAL_S:
-            self.is_pending = True
-            if self.short_kind:
-                self.store.list_stale(self.short_kind, self._on_read)
-            else:
-                self.store.read_stale(self.kind, self.name, self._on_read)
+        now = self.timers.now()
+        oldest = min(self.mirrors, key=self._get_known_at)
+        if now - oldest.answered_at < INTERVAL_S:
+            return
+        self.checked_at[oldest.kind] = now
+        self.is_pending = True
+        self.store.list_stale(
+            oldest.kind, lambda result: self._on_list(oldest, result)
+        )
 
-    def _on_read(self, result: Result) -> None:
+    def _get_known_at(self, listed: mirror.Mirror) -> float:
+        checked_at = self.checked_at.get(listed.kind, float('-inf'))
+        return max(listed.answered_at, checked_at)
+
+    def _on_list(
+        self, listed: mirror.Mirror, result: records.ListResult
+    ) -> None:
         self.is_pending = False
-        self.on_result(result)
+        self.on_result(listed, result)
--- a/citronjunction/store/records.py
+++ b/citronjunction/store/records.py
@@ -107,9 +107,6 @@
     def read(self, kind: str, name: str, on_read: OnRead) -> None:
         """Read one object."""
 
-    def read_stale(self, kind: str, name: str, on_read: OnRead) -> None:
-        """Read one object at less cost; it may be seconds out of date."""
-
     def list_stale(self, kind: str, on_list: OnList) -> None:
         """List the first page of a kind at less cost; it may be outdated."""
 
