--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -304,13 +304,14 @@
         }
 
     def _may_be_short(self, state: UpstreamState, now: float) -> bool:
-        """Return whether stopped workers may not be had again.
-
-        A new holder learns from its orders which data centres are short.
-        """
-        is_new = now - self.decides_since < demand.SHRINK_DELAY_S
-        is_short = bool(self._select_short_zones(now))
-        return is_short or (is_new and state.has_callers)
+        """Return whether stopped workers may not be had again."""
+        if now - self.decides_since < SHORTAGE_S:
+            return state.has_callers
+        has_reclaimable = any(
+            _count(state, zone, is_reclaimable=True)
+            for zone in state.scaling.prices
+        )
+        return bool(self._select_short_zones(now)) and not has_reclaimable
 
     def _count_on_demand(self, state: UpstreamState, zone: str) -> int:
         """Return a data centre's on-demand workers, running or ordered."""
