--- a/citronjunction/duties/autoscaling.py
+++ b/citronjunction/duties/autoscaling.py
@@ -137,6 +137,8 @@
             is_reclaimable=order.is_reclaimable,
             count=order.count,
             peak_tokens_per_s=round(scaler.demand.peak),
+            needed=scaler.demand.need,
+            short_zones=scaler.select_short_zones(self.stepped_at),
             token=fence.token,
         )
         self.cloud.order_workers(
--- a/citronjunction/duties/scaling.py
+++ b/citronjunction/duties/scaling.py
@@ -222,7 +222,7 @@
             zone for zone in scaling.prices if zone not in self.closed_zones
         ]
         zones = sorted(places, key=lambda zone: scaling.prices[zone])
-        short_zones = self._select_short_zones(now)
+        short_zones = self.select_short_zones(now)
         reclaimable = self._plan_reclaimable(state, zones, short_zones, now)
         retained = self._retain_on_demand(state, reclaimable, now)
         for zone, count in retained.items():
@@ -311,7 +311,7 @@
             _count(state, zone, is_reclaimable=True)
             for zone in state.scaling.prices
         )
-        return bool(self._select_short_zones(now)) and not has_reclaimable
+        return bool(self.select_short_zones(now)) and not has_reclaimable
 
     def _count_on_demand(self, state: UpstreamState, zone: str) -> int:
         """Return a data centre's on-demand workers, running or ordered."""
@@ -320,7 +320,7 @@
             return sent.count
         return _count(state, zone, is_reclaimable=False)
 
-    def _select_short_zones(self, now: float) -> list[str]:
+    def select_short_zones(self, now: float) -> list[str]:
         """Return the data centres that lately refused reclaimable workers."""
         return [
             zone
--- a/tests/gateway/test_first_events.py
+++ b/tests/gateway/test_first_events.py
@@ -79,9 +79,7 @@
 
 def test_a_worker_that_starts_again_is_limited_until_it_has_answered(deployed):
     fleet = deployed.gateways['gateway-0'].services.fleet
-    assert all(
-        worker.pace.learned is None for worker in fleet.workers.values()
-    )
+    assert all(worker.pace.learned is None for worker in fleet.workers.values())
     deployed.add_worker('llm-9', 'llm')
     deployed.world.run(2)
     started = fleet.workers['llm-9']
