--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -265,7 +265,7 @@
         return now - answered_at < probing.INTERVAL_S
 
     def _on_probe(
-        self, probed: mirror.Mirror, result: records.ListResult
+        self, probed: probing.Mirrored, result: records.ListResult
     ) -> None:
         match result:
             case records.Unavailable() if self._has_fresh_answer():
--- a/citronjunction/store/probing.py
+++ b/citronjunction/store/probing.py
@@ -1,13 +1,24 @@
 """Probes of the store, and checks of mirrors that it hasn't answered lately."""
 
 from collections import abc
+from typing import Protocol
 
-from citronjunction.store import mirror, records
+from citronjunction.store import records
 from citronjunction.transport import timer_queue
 
 INTERVAL_S = 1.0  # a hanging watch alone would go unnoticed for longer
 
 
+class Mirrored(Protocol):
+    """A mirrored kind; ``answered_at`` is in monotonic seconds."""
+
+    kind: str
+    answered_at: float
+
+    def check_changes(self, page: records.Page) -> None:
+        """Start anew if a page that may be outdated shows missed changes."""
+
+
 class Probe:
     """List the kind that was silent longest with the cheapest call, in turn.
 
@@ -29,8 +40,8 @@
         self,
         store: records.Store,
         timers: timer_queue.TimerQueue,
-        mirrors: abc.Sequence[mirror.Mirror],
-        on_result: abc.Callable[[mirror.Mirror, records.ListResult], None],
+        mirrors: abc.Sequence[Mirrored],
+        on_result: abc.Callable[[Mirrored, records.ListResult], None],
     ) -> None:
         """Set the mirrors to check and the callback for results."""
         self.store = store
@@ -59,12 +70,10 @@
             oldest.kind, lambda result: self._on_list(oldest, result)
         )
 
-    def _get_known_at(self, listed: mirror.Mirror) -> float:
+    def _get_known_at(self, listed: Mirrored) -> float:
         checked_at = self.checked_at.get(listed.kind, float('-inf'))
         return max(listed.answered_at, checked_at)
 
-    def _on_list(
-        self, listed: mirror.Mirror, result: records.ListResult
-    ) -> None:
+    def _on_list(self, listed: Mirrored, result: records.ListResult) -> None:
         self.is_pending = False
         self.on_result(listed, result)
