HTTP client: an answer with an invalid status code is a failure

What callers saw: a worker in trouble sent an answer whose status was 000; the client got it as an answer.

Cause: the parser of answers (llhttp) takes any three digits as a status, and nothing behind it checked the range. With a signature, 000 to 099 went to the caller as a good answer, counted as a success of the worker and of its version; 600 to 999 were relayed as the worker's failure. The same cause in the platform's calls: every status below 300 meant success, so a usage report or an order that was answered 000 counted as accepted, and the body of such an answer of the store was used.

Change: the reader of answers, which workers, peers' answers, the store, the cloud API and the moves of KV caches share, rejects a status outside 100 to 599 (RFC 9110, section 15) before its head is passed on. The call fails as one that may have run: safe requests go to another worker, others get 502, and the worker's health records a failure. The reason in the log names the status, as reasons raised inside the parser are no longer replaced by "callback error".

--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -8,6 +8,7 @@
 
 CONTINUE = 100
 FIRST_FINAL = 200  # lowest status of a final response
+LAST_STATUS = 599  # higher ones are invalid (RFC 9110, section 15)
 # Bytes of heads, chunk headers and trailers, beside those of the body.
 MAX_OVERHEAD_BYTES = 65536
 MAX_INTERIM_RESPONSES = 16
@@ -75,6 +76,8 @@
         self.fed_bytes += len(chunk)
         try:
             self.parser.feed_data(chunk)
+        except httptools.HttpParserCallbackError as error:
+            raise ResponseError(str(error.__context__)) from error
         except httptools.HttpParserError as error:
             raise ResponseError(str(error)) from error
         self._check_overhead()
@@ -114,9 +117,9 @@
 
     def on_headers_complete(self) -> None:
         """Store the status; drop an interim response or one to another call."""
-        self.status = self.parser.get_status_code()
+        self.status = self._read_status()
         self.is_in_head = False
-        if CONTINUE <= self.status < FIRST_FINAL:
+        if self.status < FIRST_FINAL:
             self.interim_responses += 1
             self.headers.clear()
             self.fields.clear()
@@ -147,6 +150,12 @@
             self.is_complete = True
             self.keeps_alive = self.parser.should_keep_alive()
 
+    def _read_status(self) -> int:
+        status = self.parser.get_status_code()
+        if not CONTINUE <= status <= LAST_STATUS:
+            raise ResponseError(f'invalid status code {status:03}')
+        return status
+
     def _check_overhead(self) -> None:
         if self.interim_responses > MAX_INTERIM_RESPONSES:
             raise ResponseError('too many interim responses')
--- /dev/null
+++ b/tests/gateway/test_malformed_answers.py
@@ -0,0 +1,67 @@
+"""Answers of workers that are not valid HTTP never reach callers."""
+
+import pytest
+
+from tests.support import platform_system, scripted
+
+SIGNED = b'Signature: s\r\nAttempt-Id: %b\r\n'
+BODY = b'Content-Length: 2\r\n\r\nok'
+WHOLE = b'HTTP/1.1 200 OK\r\n' + SIGNED + BODY
+INVALID_STATUSES = [b'000', b'001', b'099', b'600', b'999']
+
+
+def answer_with(wire):
+    """Return a script that answers each request with bytes that name it."""
+
+    def send(connection, request):
+        name = scripted.get_header(request, 'Attempt-Id')
+        connection.send(wire.replace(b'%b', name))
+        connection.close_later(0.01)
+
+    return send
+
+
+def ask_worker(deployed, path, wire):
+    """Return the answer to a request that a worker answered with ``wire``."""
+    name = 'llm-0' if path.startswith('/stream') else 'app-0'
+    server = scripted.replace_worker(deployed, name, answer_with(wire))
+    while not server.requests:
+        answer = deployed.ask(path, method='POST', run_s=1.0)
+    return answer
+
+
+def check_not_relayed(path, wire):
+    """Check that callers get no answer that a worker sent malformed."""
+    alone = platform_system.PlatformSystem().build(workers=1)
+    answer = ask_worker(alone, path, wire)
+    assert (answer.status, answer.is_complete) == (502, True)
+    assert 'signature' not in answer.headers
+
+    deployed = platform_system.PlatformSystem().build(workers=2)
+    answer = ask_worker(deployed, path, wire)
+    may_run_twice = path in {'/safe/x', '/stream/r/x'}
+    assert answer.status == (200 if may_run_twice else 502)
+    assert answer.is_complete
+
+
+@pytest.fixture(params=['/safe/x', '/unsafe/x', '/stream/x', '/stream/r/x'])
+def path(request):
+    return request.param
+
+
+@pytest.mark.parametrize('status', INVALID_STATUSES)
+def test_an_invalid_status_is_no_answer(path, status):
+    check_not_relayed(path, WHOLE.replace(b'200', status))
+
+
+@pytest.mark.parametrize('status', INVALID_STATUSES)
+def test_a_worker_with_invalid_statuses_is_ejected(status):
+    deployed = platform_system.PlatformSystem().build(workers=1)
+    wire = WHOLE.replace(b'200', status)
+    scripted.replace_worker(deployed, 'app-0', answer_with(wire))
+    for _ in range(3):
+        deployed.ask('/unsafe/x', method='POST', run_s=0.1)
+
+    (gateway,) = deployed.gateways.values()
+    worker = gateway.services.fleet.workers['app-0']
+    assert worker.health.is_ejected(deployed.world.now)
