HTTP client: an answer cut by a reset during its upload is not complete

What callers saw, on other systems of this kind: a worker answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written; the client got that part as a complete answer.

Cause: an answer without a length ends with its connection, and the end of the peer's side was taken for the end of the answer even if a part of the request had not reached the peer. A process that closes its socket then sends a FIN first and a reset only when more of the upload arrives, so the reset came too late to be seen.

Change: the end of the peer's side ends such an answer only once the peer has acknowledged the whole request; until then the rest of the request is sent on, and a reset fails the call as one that may have run. A worker that shuts down its side and reads on is still answered for in full. The limits on silence and on the whole call hold meanwhile.

Evidence: two of the four new tests (a FIN followed by a reset, a worker that stops reading) failed before.

--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -203,6 +203,9 @@
         reader = self.reader
         if reader.has_head and not self.is_head_delivered:
             self.is_head_delivered = True
+            # A peer that closes with a part of the request unread resets the
+            # connection, and its answer may lack the end.
+            self.connection.must_deliver = not reader.is_framed
             head = Head(
                 reader.status,
                 reader.headers,
--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 import errno
+import fcntl
 import socket
+import sys
+import termios
 from collections import abc
 from typing import Protocol
 
@@ -20,6 +23,7 @@
 IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
 CLOSED_BY_PEER = 'closed by peer'
 CONNECT_TIMED_OUT = 'connect timed out'
+DELIVERY_CHECK_S = 0.01  # between checks for bytes that are not acknowledged
 KEEPALIVE_IDLE_S = 1  # without traffic before the first probe
 KEEPALIVE_INTERVAL_S = 1  # between probes
 KEEPALIVE_PROBES = 3  # unanswered ones, where no user timeout is known
@@ -47,7 +51,8 @@
 
     ``active_at`` is when it opened or last sent or received bytes. There is no
     socket if the system could not provide one. ``on_unsent`` receives the number
-    of unsent bytes as it changes.
+    of unsent bytes as it changes. If ``must_deliver``, the connection counts as
+    closed by its peer only once the peer has acknowledged all that was sent.
     """
 
     sock: socket.socket | None
@@ -61,6 +66,7 @@
     active_at: float = 0
     connect_timer: timer_queue.Timer | None = None
     on_unsent: abc.Callable[[int], None] | None = None
+    must_deliver: bool = False
 
     def report_unsent(self) -> None:
         """Report the number of unsent bytes."""
@@ -203,11 +209,35 @@
             self.close(connection, str(error))
             return
         if not chunk:
-            self.close(connection, CLOSED_BY_PEER)
+            self._end_input(connection)
             return
         connection.active_at = self.timers.now()
         self._notify(connection, lambda: connection.receiver.on_bytes(chunk))
 
+    def _end_input(self, connection: Connection) -> None:
+        """Close a connection whose peer sends no more."""
+        if not connection.must_deliver:
+            self.close(connection, CLOSED_BY_PEER)
+            return
+        self.poller.removeReader(connection.sock)
+        self._check_delivery(connection)
+
+    def _check_delivery(self, connection: Connection) -> None:
+        """Close once all bytes are acknowledged, or the peer has reset."""
+        if connection.is_closed:
+            return
+        # Counted first: a reset also drops the bytes that wait.
+        waiting = connection.unsent or count_unacknowledged(connection.sock)
+        code = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self.close(connection, errno.errorcode.get(code, str(code)))
+        elif waiting:
+            self.timers.call_later(
+                DELIVERY_CHECK_S, lambda: self._check_delivery(connection)
+            )
+        else:
+            self.close(connection, CLOSED_BY_PEER)
+
     @handlers.handler('_write')
     def _on_writable(self, sock: socket.socket) -> None:
         connection = self.connections.get(sock)
@@ -290,6 +320,15 @@
         )
 
 
+def count_unacknowledged(sock: socket.socket) -> int:
+    """Return the sent bytes without an acknowledgement, 0 if unknown."""
+    try:
+        count = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def set_tcp_options(sock: socket.socket) -> None:
     """Disable send delays and detect a peer that no longer answers."""
     tcp = socket.IPPROTO_TCP
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -149,6 +149,66 @@
     assert isinstance(failure, verdicts.MayHaveRun)
 
 
+def shut_and_reset(sock):
+    sock.shutdown(socket.SHUT_WR)
+    time.sleep(0.1)
+    reset = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+    sock.close()
+
+
+def shut_and_close(sock):
+    sock.shutdown(socket.SHUT_WR)
+    sock.close()
+
+
+def shut_and_read_on(sock):
+    sock.shutdown(socket.SHUT_WR)
+    live.read_all(sock)
+    sock.close()
+
+
+def upload(loop, listener, end, **options):
+    """Return the result of a long upload that is answered at its start."""
+    # Smaller buffers: the upload waits in the client for the server to read.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+
+    def serve():
+        sock, _ = listener.accept()
+        sock.recv(1000)
+        sock.sendall(BARE)
+        end(sock)
+
+    threading.Thread(target=serve, daemon=True).start()
+    port = listener.getsockname()[1]
+    return send(loop, port, body=b'x' * (6 << 20), **options)
+
+
+@pytest.mark.parametrize('end', [shut_and_reset, shut_and_close])
+def test_a_response_to_an_upload_that_is_reset_is_incomplete(
+    loop, listener, end
+):
+    failure = upload(loop, listener, end)
+    assert isinstance(failure, verdicts.MayHaveRun)
+
+
+def test_a_response_to_an_upload_that_is_read_later_is_complete(loop, listener):
+    assert upload(loop, listener, shut_and_read_on).body == b'body'
+
+
+def test_a_server_that_reads_no_more_of_an_upload_times_out(loop, listener):
+    released = threading.Event()
+
+    def stop_reading(sock):
+        sock.shutdown(socket.SHUT_WR)
+        released.wait(live.TIMEOUT_S)
+        sock.close()
+
+    failure = upload(loop, listener, stop_reading, silence_s=0.3)
+    released.set()
+    assert failure.code == 'timeout'
+
+
 @pytest.mark.parametrize(
     ('stated', 'expected'),
     [
