HTTP client: an answer with an invalid status line is a failure

The parser also takes RTSP and ICE, the versions 0.9 and 2.0, and control bytes in the reason phrase; with a signature, such bytes of a worker went to the caller as a good answer.

Change: the reader of answers checks protocol and version and rejects control bytes in the reason phrase (RFC 9112, section 4). The protocol is checked at the first answer to a call, not behind interim answers, whose position in the bytes the parser does not tell.

Evidence: 28 of 56 new tests failed before (seven lines by four routes); the others show lines that were rejected already.

--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -1,5 +1,6 @@
 """Incremental parser of HTTP responses."""
 
+import re
 from collections import abc
 
 import httptools
@@ -9,6 +10,9 @@
 CONTINUE = 100
 FIRST_FINAL = 200  # lowest status of a final response
 LAST_STATUS = 599  # higher ones are invalid (RFC 9110, section 15)
+PROTOCOL = b'HTTP/'
+VERSIONS = frozenset(('1.0', '1.1'))
+CONTROL_BYTE = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 # Bytes of heads, chunk headers and trailers, beside those of the body.
 MAX_OVERHEAD_BYTES = 65536
 MAX_INTERIM_RESPONSES = 16
@@ -44,6 +48,7 @@
         'is_skipping',
         'keeps_alive',
         'parser',
+        'prefix',
         'skipped_bytes',
         'status',
     )
@@ -53,6 +58,7 @@
         self.is_for_other_call = is_for_other_call or _is_never_for_other_call
         self.is_skipping = False
         self.is_in_head = True
+        self.prefix = b''
         self.fed_bytes = 0
         self.body_bytes = 0
         self.skipped_bytes = 0
@@ -74,6 +80,8 @@
         the body than a response needs.
         """
         self.fed_bytes += len(chunk)
+        if len(self.prefix) < len(PROTOCOL):
+            self._check_protocol(chunk)
         try:
             self.parser.feed_data(chunk)
         except httptools.HttpParserCallbackError as error:
@@ -107,6 +115,11 @@
             raise ResponseError('response without a request')
         self.is_in_head = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Raise an error for control bytes in the reason phrase."""
+        if CONTROL_BYTE.search(reason):
+            raise ResponseError('control byte in the reason phrase')
+
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; ignore trailers, which come after the head."""
         if not self.is_in_head:
@@ -117,6 +130,7 @@
 
     def on_headers_complete(self) -> None:
         """Store the status; drop an interim response or one to another call."""
+        self._check_version()
         self.status = self._read_status()
         self.is_in_head = False
         if self.status < FIRST_FINAL:
@@ -150,6 +164,18 @@
             self.is_complete = True
             self.keeps_alive = self.parser.should_keep_alive()
 
+    def _check_protocol(self, chunk: bytes) -> None:
+        """Raise an error for other protocols that the parser reads."""
+        start = (self.prefix + chunk).lstrip(b'\r\n')
+        self.prefix = start[: len(PROTOCOL)]
+        if not PROTOCOL.startswith(self.prefix):
+            raise ResponseError('not an HTTP response')
+
+    def _check_version(self) -> None:
+        version = self.parser.get_http_version()
+        if version not in VERSIONS:
+            raise ResponseError(f'HTTP version {version}')
+
     def _read_status(self) -> int:
         status = self.parser.get_status_code()
         if not CONTINUE <= status <= LAST_STATUS:
--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -5,7 +5,7 @@
 from tests.support import platform_system, scripted
 
 SIGNED = b'Signature: s\r\nAttempt-Id: %b\r\n'
-BODY = b'Content-Length: 2\r\n\r\nok'
+BODY = b'Content-Length: 16\r\n\r\nid: 1\ndata: t1\n\n'
 WHOLE = b'HTTP/1.1 200 OK\r\n' + SIGNED + BODY
 INVALID_STATUSES = [b'000', b'001', b'099', b'600', b'999']
 
@@ -65,3 +65,26 @@
     (gateway,) = deployed.gateways.values()
     worker = gateway.services.fleet.workers['app-0']
     assert worker.health.is_ejected(deployed.world.now)
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'HTTP/0.9 200 OK',
+        b'RTSP/1.0 200 OK',
+        b'ICE/1.0 200 OK',
+        b'HTTP/2.0 200 OK',
+        b'HTTP/1.1 200 O\x00K',
+        b'HTTP/1.1 200 O\x1bK',
+        b'HTTP/1.1 200 O\x7fK',
+        b'HTTP/1.1  200 OK',
+        b'HTTP/1.1 20 OK',
+        b'HTTP/1.1 2000 OK',
+        b'HTTP/1.1 2x0 OK',
+        b'HTTP/1.1 -20 OK',
+        b'HTTP/1.1200 OK',
+        b'HTTPS/1.1 200 OK',
+    ],
+)
+def test_an_invalid_status_line_is_no_answer(path, line):
+    check_not_relayed(path, WHOLE.replace(b'HTTP/1.1 200 OK', line))
