HTTP client: an answer in a transfer coding other than chunked is a failure

Cause: Transfer-Encoding concerns one connection and is not passed on, but only the coding "chunked" was undone. Of an answer with "gzip, chunked", or chunked twice, the caller got the encoded bytes as the body of a complete 200; streams in other codings began and broke off.

Change: the reader of answers fails an answer whose codings are not exactly "chunked" (RFC 9112, section 6.1: no coding was offered).

--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -12,6 +12,8 @@
 LAST_STATUS = 599  # higher ones are invalid (RFC 9110, section 15)
 PROTOCOL = b'HTTP/'
 VERSIONS = frozenset(('1.0', '1.1'))
+TRANSFER_ENCODING = 'transfer-encoding'
+CHUNKED = 'chunked'
 CONTROL_BYTE = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 # Bytes of heads, chunk headers and trailers, beside those of the body.
 MAX_OVERHEAD_BYTES = 65536
@@ -138,10 +140,7 @@
             self.headers.clear()
             self.fields.clear()
             return
-        self.is_framed = (
-            'content-length' in self.headers
-            or 'transfer-encoding' in self.headers
-        )
+        self.is_framed = self._is_chunked() or 'content-length' in self.headers
         self.is_skipping = self.is_for_other_call(self.headers)
         if self.is_skipping and not self.is_framed:
             raise ResponseError('response to another call has no length')
@@ -182,6 +181,19 @@
             raise ResponseError(f'invalid status code {status:03}')
         return status
 
+    def _is_chunked(self) -> bool:
+        """Return whether the body is chunked; no other coding is decoded."""
+        if TRANSFER_ENCODING not in self.headers:
+            return False
+        codings = [
+            text.decode('latin-1').strip().lower()
+            for name, text in self.fields
+            if name.decode('latin-1').lower() == TRANSFER_ENCODING
+        ]
+        if codings != [CHUNKED]:
+            raise ResponseError(f'transfer codings {codings}')
+        return True
+
     def _check_overhead(self) -> None:
         if self.interim_responses > MAX_INTERIM_RESPONSES:
             raise ResponseError('too many interim responses')
--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -88,3 +88,48 @@
 )
 def test_an_invalid_status_line_is_no_answer(path, line):
     check_not_relayed(path, WHOLE.replace(b'HTTP/1.1 200 OK', line))
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Transfer-Encoding: gzip, chunked\r\n',
+        b'Transfer-Encoding: chunked, chunked\r\n',
+        b'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: gzip\r\n',
+        b'Transfer-Encoding: identity\r\n',
+        b'Transfer-Encoding: xchunked\r\n',
+        b'Transfer-Encoding:\r\n',
+        b'Transfer-Encoding: chunked\r\nContent-Length: 16\r\n',
+        b'Content-Length: 16\r\nContent-Length: 16\r\n',
+        b'Content-Length: 16, 16\r\n',
+        b'Content-Length: +16\r\n',
+        b'Content-Length: -1\r\n',
+        b'Content-Length:\r\n',
+    ],
+)
+def test_a_body_with_another_framing_is_no_answer(path, framing):
+    event = b'id: 1\ndata: t1\n\n'
+    body = scripted.encode_chunk(event) + b'0\r\n\r\n'
+    if b'Transfer-Encoding' not in framing:
+        body = event
+    wire = b'HTTP/1.1 200 OK\r\n' + SIGNED + framing + b'\r\n' + body
+    check_not_relayed(path, wire)
+
+
+@pytest.mark.parametrize('coding', [b'chunked', b'Chunked', b' chunked '])
+def test_a_chunked_body_is_relayed(path, coding):
+    deployed = platform_system.PlatformSystem().build(workers=1)
+    event = b'id: 1\ndata: t1\n\n'
+    answer = ask_worker(
+        deployed,
+        path,
+        b'HTTP/1.1 200 OK\r\n'
+        + SIGNED
+        + b'Transfer-Encoding: %b\r\n\r\n'.replace(b'%b', coding)
+        + scripted.encode_chunk(event)
+        + b'0\r\n\r\n',
+    )
+    assert answer.status == 200
+    assert answer.body == event
