HTTP client: a switch of protocols is a failure of the call, not of the code

An answer 101 with an Upgrade header raised an error of the parser that the reader did not know. Callers got 502, but the error was logged as one of our own, and the request counted as one that may have crashed its worker, after three of which it is refused.

Change: the reader rejects 101, as no upgrade is ever offered. It fails the call as a malformed answer does.

Evidence: 4 of 8 new tests failed before, with the parser's error.

--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -8,6 +8,7 @@
 from citronjunction.transport import framing
 
 CONTINUE = 100
+SWITCHING_PROTOCOLS = 101
 FIRST_FINAL = 200  # lowest status of a final response
 LAST_STATUS = 599  # higher ones are invalid (RFC 9110, section 15)
 PROTOCOL = b'HTTP/'
@@ -179,6 +180,8 @@
         status = self.parser.get_status_code()
         if not CONTINUE <= status <= LAST_STATUS:
             raise ResponseError(f'invalid status code {status:03}')
+        if status == SWITCHING_PROTOCOLS:
+            raise ResponseError('switch to a protocol that was not offered')
         return status
 
     def _is_chunked(self) -> bool:
--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -133,3 +133,12 @@
     )
     assert answer.status == 200
     assert answer.body == event
+
+
+@pytest.mark.parametrize(
+    'upgrade', [b'', b'Connection: upgrade\r\nUpgrade: x\r\n']
+)
+def test_a_switch_of_protocols_is_no_answer(path, upgrade):
+    check_not_relayed(
+        path, b'HTTP/1.1 101 Switching\r\n' + upgrade + b'\r\n' + WHOLE
+    )
