Tests: malformed fields and heads that break off are no answers

Two reports from other systems that do not happen here: a head in which the name of a field held a blank or a control byte, and a worker that stopped in the middle of its head and closed, for which clients got an empty or short 200. A stand-in sends 26 such fields, before and behind the signature, three trailers, and heads cut at every third byte, with and without a length, on all four kinds of routes.

--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -142,3 +142,72 @@
     check_not_relayed(
         path, b'HTTP/1.1 101 Switching\r\n' + upgrade + b'\r\n' + WHOLE
     )
+
+
+# Names of header fields with a blank or a control byte, and folded lines.
+BAD_FIELDS = [
+    b'X Y: 1',
+    b'X-Y : 1',
+    b' X-Y: 1',
+    b'X\tY: 1',
+    b'X-Y\t: 1',
+    b'\tX-Y: 1',
+    b'X\x00Y: 1',
+    b'X\x01Y: 1',
+    b'X\x1bY: 1',
+    b'X\x7fY: 1',
+    b'X\x80Y: 1',
+    b'X\rY: 1',
+    b'X\nY: 1',
+    b': 1',
+    b'X-Y',
+    b'X(Y): 1',
+    b'Content-Length : 1',
+    b'Content-Length\x00: 1',
+    b'Transfer-Encoding : chunked',
+    b'Transfer-Encoding\x0b: chunked',
+    b'X-Y: 1\r\n folded',
+    b'X-Y: 1\r\n\tfolded: 1',
+    b'X-Y: a\x00b',
+    b'X-Y: a\x01b',
+    b'X-Y: a\rb',
+    b'X-Y: a\nb',
+]
+
+
+@pytest.mark.parametrize('is_first', [False, True])
+@pytest.mark.parametrize('field', BAD_FIELDS)
+def test_a_malformed_field_is_no_answer(path, field, is_first):
+    line = b'HTTP/1.1 200 OK\r\n'
+    fields = [SIGNED, field + b'\r\n']
+    if is_first:
+        fields.reverse()
+    check_not_relayed(path, line + b''.join(fields) + BODY)
+
+
+@pytest.mark.parametrize('field', [b'X Y: 1', b'X-Y : 1', b'X\x01Y: 1'])
+def test_a_malformed_trailer_never_ends_an_answer(path, field):
+    deployed = platform_system.PlatformSystem().build(workers=1)
+    wire = (
+        b'HTTP/1.1 200 OK\r\n'
+        + SIGNED
+        + b'Transfer-Encoding: chunked\r\n\r\n'
+        + scripted.encode_chunk(b'id: 1\ndata: t1\n\n')
+        + b'0\r\n%b\r\n\r\n'.replace(b'%b', field)
+    )
+    answer = ask_worker(deployed, path, wire)
+    assert not (answer.status == 200 and answer.is_complete)
+
+
+HEAD = WHOLE.partition(b'\r\n\r\n')[0]
+
+
+# The name of the request, put in for the mark, belongs to the head too.
+@pytest.mark.parametrize('length', [*range(0, len(HEAD) + 4, 3), len(HEAD) + 3])
+@pytest.mark.parametrize('is_framed', [False, True])
+def test_a_head_that_breaks_off_is_no_answer(path, length, is_framed):
+    wire = WHOLE
+    if not is_framed:
+        wire = WHOLE.replace(b'Content-Length: 16\r\n', b'')
+    end = min(length, wire.index(b'\r\n\r\n') + 3)
+    check_not_relayed(path, wire[:end])
