Stopping: requests that can't complete in the grace period are answered

What callers saw, on another system: in a planned stop of one host, in calm, requests that came late in the grace period were passed on and at its end cut without an answer, among them ones that may not be repeated.

It happened here in two ways. The process ended at 94 % of the grace period with requests in progress, which lost their connection; and it refused new requests only from 2.6 s on, so that with a grace period of up to 2.7 s it passed requests on until its end.

--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -248,6 +248,22 @@
             self._close_attempt(self.attempt, is_good=None)
         self._close(reason, 0)
 
+    def expire(self, text: str, code: str) -> None:
+        """Fail the request, whose answer is not awaited any longer."""
+        if self.is_over:
+            return
+        if self.attempt is None:
+            self._finish(verdicts.NotRun(text, RETRY_AFTER_S, code=code))
+            return
+        is_connecting = not self.attempt.call.is_sent
+        self.attempt.cancel()
+        self._close_attempt(self.attempt, is_good=None)
+        if self.history.may_have_run or not is_connecting:
+            self._count_run()
+            self._finish(verdicts.MayHaveRun(text, GATEWAY_TIMEOUT, code))
+        else:
+            self._finish(verdicts.NotRun(text, RETRY_AFTER_S, code=code))
+
     def _try_worker(self) -> None:
         services = self.services
         now = services.timers.now()
@@ -332,21 +348,7 @@
         self._close(failure.code, failure.status, failure.reason)
 
     def _on_deadline(self) -> None:
-        if self.is_over:
-            return
-        text = 'the deadline passed before the answer ended'
-        code = 'deadline'
-        if self.attempt is None:
-            self._finish(verdicts.NotRun(text, RETRY_AFTER_S, code=code))
-            return
-        is_connecting = not self.attempt.call.is_sent
-        self.attempt.cancel()
-        self._close_attempt(self.attempt, is_good=None)
-        if self.history.may_have_run or not is_connecting:
-            self._count_run()
-            self._finish(verdicts.MayHaveRun(text, GATEWAY_TIMEOUT, code))
-        else:
-            self._finish(verdicts.NotRun(text, RETRY_AFTER_S, code=code))
+        self.expire('the deadline passed before the answer ended', 'deadline')
 
     def _on_caller_gone(self) -> None:
         self.cancel('caller_gone')
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -135,3 +135,72 @@
     host.on_stop()
     deployed.world.run(gateway.settings.gateway.grace_s)
     assert not host.is_alive
+
+
+def build_slow(grace_s, service_time_s):
+    """Return two gateways with slow workers; gateway-1 has the grace."""
+    deployed = platform_system.PlatformSystem().build(gateways=2)
+    deployed.configure(
+        routes=[
+            {**route, 'timeoutMs': 30000}
+            for route in deployed.configuration['routes']
+        ],
+    )
+    deployed.world.run(0.3)
+    for worker in deployed.workers.values():
+        worker.behaviour.service_time_s = service_time_s
+        worker.behaviour.event_interval_s = service_time_s
+    deployed.gateways['gateway-1'].settings.gateway.grace_s = grace_s
+    return deployed
+
+
+def is_run(deployed, answer):
+    return deployed.count_runs(answer.call.call.headers['Attempt-Id']) > 0
+
+
+# Guards against LOST: requests were passed on and cut without an answer.
+@pytest.mark.parametrize('grace_s', [1.0, 2.0, 3.0, 8.0, 20.0])
+@pytest.mark.parametrize('service_time_s', [0.3, 1.0, 30.0])
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/stream/x'])
+def test_requests_passed_on_during_a_stop_are_answered(
+    grace_s, service_time_s, path
+):
+    deployed = build_slow(grace_s, service_time_s)
+    host = deployed.gateway_hosts['gateway-1']
+    host.on_stop()
+    end = deployed.world.now + grace_s
+    answers = []
+    while host.is_alive and deployed.world.now < end:
+        sent = deployed.send(
+            path, gateway='gateway-1', method='POST', deadline_ms=30000
+        )
+        answers.append(sent)
+        deployed.world.run(0.1)
+    deployed.world.run(grace_s)
+
+    assert not host.is_alive
+    passed_on = [answer for answer in answers if is_run(deployed, answer)]
+    assert passed_on
+    for answer in passed_on:
+        # Only a stream that has begun can't be given another status.
+        is_begun = path == '/stream/x' and answer.status == 200
+        assert answer.is_complete or is_begun
+        assert answer.status in {200, 504}
+    refused = [answer for answer in answers if answer.status == 503]
+    assert not any(is_run(deployed, answer) for answer in refused)
+    assert all(float(answer.headers['retry-after']) > 0 for answer in refused)
+
+
+@pytest.mark.parametrize('grace_s', [1.0, 2.0, 3.0, 8.0])
+def test_no_request_is_passed_on_late_in_the_grace_period(grace_s):
+    deployed = build_slow(grace_s, 30.0)
+    host = deployed.gateway_hosts['gateway-1']
+    deployed.send('/unsafe/x', gateway='gateway-1', deadline_ms=30000)
+    deployed.world.run(0.1)
+    host.on_stop()
+    deployed.world.run(grace_s / 2)
+    before = deployed.count_runs()
+    late = deployed.ask('/unsafe/x', gateway='gateway-1', run_s=0.1)
+
+    assert late.status == 503
+    assert deployed.count_runs() == before
