HTTP client: an answer may have 256 header fields

What callers saw, on other systems: a faulty worker sent bytes without end, in a head or in a body; the host that had called it kept them all and ran out of memory, and the requests of its other callers ended with it.

Heads were bounded at 64 KiB, but not in the number of their fields: 8,000 short ones take 1.7 MB once parsed, and a worker that stops there holds them until the deadline.

Change: a head of more than 256 fields fails the call.

--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -19,6 +19,7 @@
 # Bytes of heads, chunk headers and trailers, beside those of the body.
 MAX_OVERHEAD_BYTES = 65536
 MAX_INTERIM_RESPONSES = 16
+MAX_FIELDS = 256  # of a head; short ones take far more memory than their bytes
 MAX_SKIPPED_BYTES = 1 << 20  # body bytes of responses to other calls
 
 
@@ -124,9 +125,14 @@
             raise ResponseError('control byte in the reason phrase')
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Store a header; ignore trailers, which come after the head."""
+        """Store a header; ignore trailers, which come after the head.
+
+        Raises ``ResponseError`` for more than ``MAX_FIELDS`` headers.
+        """
         if not self.is_in_head:
             return
+        if len(self.fields) == MAX_FIELDS:
+            raise ResponseError(f'more than {MAX_FIELDS} header fields')
         key = name.decode('latin-1').lower()
         self.headers[key] = text.decode('latin-1')
         self.fields.append((name, text))
--- a/tests/support/front_door.py
+++ b/tests/support/front_door.py
@@ -31,6 +31,8 @@
     'unrouted': ('front', '/none/'),
     'ready': ('readiness', '/api/readyz'),
     'directory': ('directory', '/api/resolve'),
+    'faulty': ('front', '/faulty/'),
+    'faulty stream': ('front', '/faulty/stream/'),
 }
 
 
@@ -52,12 +54,16 @@
 
 
 @contextlib.contextmanager
-def start(folder):
-    """Start a gateway with workers; yield it once it is ready."""
+def start(folder, prepare=lambda world: None):
+    """Start a gateway with workers; yield it once it is ready.
+
+    ``prepare`` may change the stand-ins before.
+    """
     world = system.System(1, 12, folder)
     for worker in world.workers.values():
         worker.behaviour.padding = ANSWER_BYTES
     world.configure(limits=LIMITS)
+    prepare(world)
     door = Door(next(iter(world.entries.values())))
     settings = door.entry.settings
     text = settings.read_text()
