HTTP client: bytes between two parts of a body have a limit of their own

Second way in which bytes without end of a faulty worker filled the memory. What an answer may have beside its body grows with the body, to allow chunks of one byte, and the parser keeps a trailer until it ends: behind a body of 2.4 MB, which had been relayed, one trailer could take 38 MB.

A chunk extension without end, which the parser does not keep, ends at the same limit.

--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -42,6 +42,7 @@
         'body_bytes',
         'fields',
         'fed_bytes',
+        'gap_bytes',
         'has_head',
         'headers',
         'interim_responses',
@@ -63,6 +64,7 @@
         self.is_skipping = False
         self.is_in_head = True
         self.prefix = b''
+        self.gap_bytes = 0
         self.fed_bytes = 0
         self.body_bytes = 0
         self.skipped_bytes = 0
@@ -84,6 +86,7 @@
         the body than a response needs.
         """
         self.fed_bytes += len(chunk)
+        previous = self.body_bytes + self.skipped_bytes
         if len(self.prefix) < len(PROTOCOL):
             self._check_protocol(chunk)
         try:
@@ -93,6 +96,7 @@
         except httptools.HttpParserError as error:
             raise ResponseError(str(error)) from error
         self._check_overhead()
+        self._check_gap(len(chunk), previous)
         return self.pop_body()
 
     def pop_body(self) -> bytes:
@@ -203,6 +207,18 @@
             raise ResponseError(f'transfer codings {codings}')
         return True
 
+    def _check_gap(self, size: int, previous: int) -> None:
+        """Bound what comes between parts of the body, as trailers do.
+
+        The parser keeps a field until it ends.
+        """
+        if self.body_bytes + self.skipped_bytes > previous:
+            self.gap_bytes = 0
+            return
+        self.gap_bytes += size
+        if self.gap_bytes > MAX_OVERHEAD_BYTES:
+            raise ResponseError(f'{self.gap_bytes} bytes without a body')
+
     def _check_overhead(self) -> None:
         if self.interim_responses > MAX_INTERIM_RESPONSES:
             raise ResponseError('too many interim responses')
--- a/tests/budgeting/test_faulty_workers.py
+++ b/tests/budgeting/test_faulty_workers.py
@@ -38,6 +38,16 @@
     'a failure that stops': (PLAIN, FAILED + CHUNKED, CHUNK, 1000),
     'a body without end': (PLAIN, OK + CHUNKED, LARGE_CHUNK),
     'a body that stops': (PLAIN, OK + CHUNKED, CHUNK, 250),
+    'a trailer without end': (
+        PLAIN,
+        OK + CHUNKED + BODY + b'0\r\nX: ',
+        LARGE,
+    ),
+    'a chunk extension without end': (
+        PLAIN,
+        OK + CHUNKED + BODY + b'5;x=',
+        LARGE,
+    ),
     'trailers without end': (
         PLAIN,
         OK + CHUNKED + BODY + b'0\r\n',
