Gateway: long incomplete events of a stream are accounted for

Third way in which bytes without end of a faulty worker filled the memory. What is kept of a plain answer counts towards what callers may cost in all, but not what is kept of a stream until its event ends: up to 1 MiB a stream, without a bound on their sum.

Change: an incomplete event of over 16 KiB is charged like a plain answer, until it is complete or the attempt fails.

--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -10,6 +10,8 @@
 
 MAX_BUFFER_BYTES = 262144  # larger plain answers are relayed in parts
 MAX_FAILURE_BYTES = 1048576  # a failure is only relayed as a whole
+# Incomplete events of up to so many bytes, as most are, are not accounted for.
+SHORT_EVENT_BYTES = 16384
 # Statuses that tell the caller that its request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 SERVER_ERROR = 500
@@ -72,6 +74,7 @@
         'clock',
         'codec',
         'first_byte_at',
+        'held_bytes',
         'is_over',
         'is_started',
         'is_stream',
@@ -112,6 +115,7 @@
         self.first_byte_at: float | None = None
         self.pending_prefill_tokens = 0
         self.prefill_tokens = 0
+        self.held_bytes = 0
         self.is_started = False
         self.is_over = False
 
@@ -217,6 +221,9 @@
                 'bad_answer',
             )
             return
+        self._hold_event(len(self.reader.remainder))
+        if self.is_over:
+            return
         if self._is_stalled():
             self.cancel()
             self._fail(
@@ -227,6 +234,13 @@
         elif complete_events:
             self._relay(complete_events)
 
+    def _hold_event(self, size: int) -> None:
+        """Account for the bytes of an incomplete event that is long."""
+        held = size if size > SHORT_EVENT_BYTES else 0
+        if held != self.held_bytes:
+            self.held_bytes = held
+            self.owner.on_buffered(self, held)
+
     def _relay(self, complete_events: bytes) -> None:
         if self.is_started:
             self.owner.on_part(self, complete_events)
@@ -302,4 +316,5 @@
         reason: str,
         code: str,
     ) -> None:
+        self._hold_event(0)
         self.owner.on_failed(self, evidence.AttemptFailure(proof, reason, code))
--- a/tests/budgeting/test_faulty_workers.py
+++ b/tests/budgeting/test_faulty_workers.py
@@ -48,6 +48,8 @@
         OK + CHUNKED + BODY + b'5;x=',
         LARGE,
     ),
+    'an event without end': (EVENTS, OK + STREAM + CHUNKED, CHUNK),
+    'an event that stops': (EVENTS, OK + STREAM + CHUNKED, CHUNK, 1000),
     'trailers without end': (
         PLAIN,
         OK + CHUNKED + BODY + b'0\r\n',
