Platform calls: answers to small calls end at 64 KiB, reports at 1 MiB

A worker that leaves is asked once for each stream to move it, so faulty ones could take 8 MiB a stream.

Change: the collector of an answer takes its bound. Answers to usage reports, orders and moves may have 64 KiB, reports of workers 1 MiB.

--- a/citronjunction/platform/cloud.py
+++ b/citronjunction/platform/cloud.py
@@ -8,6 +8,7 @@
 from citronjunction.transport import http_client
 
 CALL_TIMEOUT_S = 1.0  # limits how late after the lease check a call can arrive
+MAX_REPLY_BYTES = 65536  # only the status is used
 CONFLICT = 409
 FIRST_ERROR_STATUS = 300
 
@@ -73,6 +74,7 @@
         sink = http_client.ReplyCollector(
             lambda reply: on_result(_classify_status(reply.status)),
             lambda failure: on_result(models.CallResult.unavailable),
+            MAX_REPLY_BYTES,
         )
         self.client.send(call, sink)
 
--- a/citronjunction/platform/kv_cache_moves.py
+++ b/citronjunction/platform/kv_cache_moves.py
@@ -13,6 +13,8 @@
 MS_PER_S = 1000
 REPORT_TIMEOUT_S = 0.5  # a report is already some hundred ms old
 MOVE_TIMEOUT_S = 1.5  # a copy queues behind others on the same network link
+MAX_REPORT_BYTES = 1048576  # lists all runs of a worker
+MAX_RESULT_BYTES = 65536
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -49,6 +51,7 @@
         sink = http_client.ReplyCollector(
             lambda reply: on_result(_decode_result(reply)),
             lambda failure: on_result(relocation.NotMoved(failure.reason)),
+            MAX_RESULT_BYTES,
         )
         self.client.send(call, sink)
 
@@ -69,6 +72,7 @@
         sink = http_client.ReplyCollector(
             lambda reply: on_read(_read_time_left(reply)),
             lambda _: on_read(None),
+            MAX_REPORT_BYTES,
         )
         self.client.send(call, sink)
 
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -18,7 +18,7 @@
 from citronjunction.verdicts import models as verdicts
 
 MAX_IDLE_PER_ADDRESS = 32  # connections
-MAX_REPLY_BYTES = 8388608  # longer bodies fail the call
+MAX_REPLY_BYTES = 8388608  # longer bodies fail the call, unless stated
 MAX_UNSENT_BYTES = 8388608  # more unsent bytes close the connection
 NO_REUSE_S = -1.0  # as ``max_idle_s``: always open a new connection
 MIN_CHECK_S = 0.001  # a shorter delay may be lost in rounding, without end
@@ -347,22 +347,20 @@
     body: bytes
 
 
+@dataclasses.dataclass(slots=True, eq=False)
 class ReplyCollector:
-    """Collect a response in memory and pass it on once it is complete."""
+    """Collect a response in memory and pass it on once it is complete.
 
-    __slots__ = ('body', 'headers', 'on_failure', 'on_reply', 'status')
+    Exactly one of the callbacks is called, once. A body of more than
+    ``max_bytes`` fails the call.
+    """
 
-    def __init__(
-        self,
-        on_reply: abc.Callable[[Reply], None],
-        on_failure: abc.Callable[[verdicts.Failure], None],
-    ) -> None:
-        """Call exactly one of the callbacks, once."""
-        self.on_reply = on_reply
-        self.on_failure = on_failure
-        self.status = 0
-        self.headers: dict[str, str] = {}
-        self.body = bytearray()
+    on_reply: abc.Callable[[Reply], None]
+    on_failure: abc.Callable[[verdicts.Failure], None]
+    max_bytes: int = MAX_REPLY_BYTES
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytearray = dataclasses.field(default_factory=bytearray)
 
     def on_head(self, head: Head) -> None:
         """Store the status and headers."""
@@ -370,10 +368,10 @@
         self.headers = head.headers
 
     def on_data(self, chunk: bytes) -> None:
-        """Append a part of the body, up to ``MAX_REPLY_BYTES``."""
+        """Append a part of the body, up to ``max_bytes``."""
         self.body.extend(chunk)
-        if len(self.body) > MAX_REPLY_BYTES:
-            raise BodyTooLarge(f'the body exceeds {MAX_REPLY_BYTES} bytes')
+        if len(self.body) > self.max_bytes:
+            raise BodyTooLarge(f'the body exceeds {self.max_bytes} bytes')
 
     def on_end(self) -> None:
         """Pass the complete response on."""
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -6,7 +6,7 @@
 from citronjunction.gateway import relocation
 from citronjunction.platform import cloud, kv_cache_moves, object_store
 from citronjunction.store import eras, records
-from tests.support import scripted, virtual
+from tests.support import endless, scripted, virtual
 
 ADDRESS = '10.0.0.1:80'
 BODIES = {
@@ -15,7 +15,16 @@
     'read': b'{"meta": {"name": "n", "rev": 1}, "spec": {}, "status": {}}',
     'list': b'{"entries": [], "hasMore": false, "asOf": 1}',
     'move': b'{"handle": "h"}',
+    'report': b'{"leaves_ms": 1000}',
 }
+# Of the bodies of answers to small calls.
+MAX_BYTES = {
+    'usage': 1 << 16,
+    'order': 1 << 16,
+    'move': 1 << 16,
+    'report': 1 << 20,
+}
+IN_TRANSIT = 1 << 18  # bytes that a server sends until it is closed
 INVALID_STATUSES = [b'000', b'099', b'600']
 
 
@@ -40,6 +49,9 @@
         case 'move':
             mover = kv_cache_moves.KvCacheMover(host.client)
             mover.move(ADDRESS, 'request', '10.0.0.2:80', on_result)
+        case 'report':
+            mover = kv_cache_moves.KvCacheMover(host.client)
+            mover.read_time_left(ADDRESS, on_result)
 
 
 def ask(kind, status):
@@ -68,7 +80,7 @@
             return result is duties.CallResult.unavailable
         case records.Unavailable(may_take_effect=may_take_effect):
             return may_take_effect
-    return isinstance(result, relocation.NotMoved)
+    return result is None or isinstance(result, relocation.NotMoved)
 
 
 @pytest.mark.parametrize('kind', BODIES)
@@ -80,3 +92,21 @@
 @pytest.mark.parametrize('status', INVALID_STATUSES)
 def test_an_invalid_status_is_a_failure(kind, status):
     assert is_failure(ask(kind, status))
+
+
+@pytest.mark.parametrize('kind', MAX_BYTES)
+def test_an_answer_without_end_to_a_small_call_ends_soon(kind):
+    world = virtual.World()
+    head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    unit = scripted.encode_chunk(b'y' * 10000)
+    server = endless.EndlessServer(
+        world.add_host('server'), ADDRESS, head, unit
+    )
+    results = []
+    call(kind, world.add_host('caller'), results.append)
+    world.run(20)
+
+    (result,) = results
+    assert is_failure(result)
+    assert not server.open_connections
+    assert server.sent <= MAX_BYTES[kind] + IN_TRANSIT
