Tests: a malformed answer to the handshake of a peer link opens no link

The other reader of answers, websockets, has bounds and checks of its own: ten malformed or endless answers of a peer open no link and end it within 2 MiB.

--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -10,7 +10,7 @@
 from citronjunction.conf import models as conf
 from citronjunction.membership import facts, messages
 from citronjunction.transport import links, runtime
-from tests.support import live, virtual
+from tests.support import endless, live, virtual
 
 SECRET = 'a-secret-for-tests-only'
 
@@ -155,3 +155,38 @@
     assert [messages.decode(frame) for frame in link.frames] == [
         messages.Facts((facts.LeavingHost('h', 1.0),))
     ]
+
+
+SWITCH = b'HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n'
+MAX_HANDSHAKE_BYTES = 2 << 20
+
+
+@pytest.mark.parametrize(
+    ('prefix', 'unit'),
+    [
+        (SWITCH.replace(b'101', b'000') + b'\r\n', b''),
+        (SWITCH.replace(b'101', b'999') + b'\r\n', b''),
+        (SWITCH.replace(b'101', b'200') + b'Content-Length: 0\r\n\r\n', b''),
+        (SWITCH + b'Up grade: websocket\r\n\r\n', b''),
+        (SWITCH + b'X\x01Y: 1\r\n\r\n', b''),
+        (SWITCH + b'\r\n', b'\x82\x00'),
+        (b'', b'\x00' * 1000),
+        (SWITCH, b'X: y\r\n' * 100),
+        (SWITCH + b'X: ', b'y' * 1000),
+        (b'HTTP/1.1 500 x\r\n\r\n', b'y' * 1000),
+    ],
+)
+def test_a_malformed_handshake_opens_no_link(prefix, unit):
+    world = virtual.World()
+    address = '10.0.0.1:80'
+    server = endless.EndlessServer(
+        world.add_host('server'), address, prefix, unit
+    )
+    caller = world.add_host('caller')
+    hub, factory = build(caller)
+    link = factory.dial(address)
+    world.run(20)
+
+    assert not hub.opened.is_set()
+    assert link.connection.is_closed
+    assert server.sent < MAX_HANDSHAKE_BYTES
