Object API: an event of a watch has a largest size

The same cause as with answers of workers without end, in the client of the own interface: a watch kept a line until it ended, without a bound.

Change: a line of over 8 MiB, the bound of other answers of the store, fails the watch, which is opened again.

Evidence: the new test failed before: a store that sent one line without end for 2 s was read on, on the first connection.

--- a/citronjunction/store/object_api.py
+++ b/citronjunction/store/object_api.py
@@ -133,7 +133,7 @@
         """Ignore the status, since an error body contains no event."""
 
     def on_data(self, chunk: bytes) -> None:
-        """Report the objects of complete lines."""
+        """Report the objects of complete lines; a line has a largest size."""
         self.partial_line.extend(chunk)
         *lines, rest = bytes(self.partial_line).split(b'\n')
         self.partial_line = bytearray(rest)
@@ -141,6 +141,11 @@
             changed = _parse_event(line)
             if changed is not None:
                 self.on_object(changed)
+        if len(rest) > http_client.MAX_REPLY_BYTES:
+            self.partial_line.clear()
+            raise http_client.BodyTooLarge(
+                f'an event exceeds {http_client.MAX_REPLY_BYTES} bytes'
+            )
 
     def on_end(self) -> None:
         """Reopen the watch after a delay."""
