--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -10,8 +10,7 @@
 
 MAX_BUFFER_BYTES = 262144  # larger plain answers are relayed in parts
 MAX_FAILURE_BYTES = 1048576  # a failure is only relayed as a whole
-# Incomplete events of up to so many bytes, as most are, are not accounted for.
-SHORT_EVENT_BYTES = 16384
+SHORT_EVENT_BYTES = 16384  # up to which incomplete events are not accounted for
 # Statuses that tell the caller that its request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 SERVER_ERROR = 500
--- a/citronjunction/gateway/stopping.py
+++ b/citronjunction/gateway/stopping.py
@@ -6,9 +6,8 @@
     from citronjunction.gateway import node
 
 REFUSE_AFTER_S = 2.6  # callers have read the new list of addresses by then
-# Shares of the grace period, which ends with a kill. Later requests are
-# refused, so that those passed on before have most of the period.
-REFUSE_SHARE = 1 / 3
+# Shares of the grace period, at whose end the process is killed.
+REFUSE_SHARE = 1 / 3  # of a short one: earlier requests have the rest to end
 END_SHARE = 0.94  # requests that still run are answered as failed
 EXIT_SHARE = 0.97  # answers that callers have not read by then are cut off
 IDLE_CHECK_S = 0.1
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -18,7 +18,7 @@
 from citronjunction.verdicts import models as verdicts
 
 MAX_IDLE_PER_ADDRESS = 32  # connections
-MAX_REPLY_BYTES = 8388608  # longer bodies fail the call, unless stated
+MAX_REPLY_BYTES = 8388608  # longer bodies fail a call by default
 MAX_UNSENT_BYTES = 8388608  # more unsent bytes close the connection
 NO_REUSE_S = -1.0  # as ``max_idle_s``: always open a new connection
 MIN_CHECK_S = 0.001  # a shorter delay may be lost in rounding, without end
--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -86,7 +86,7 @@
         the body than a response needs.
         """
         self.fed_bytes += len(chunk)
-        previous = self.body_bytes + self.skipped_bytes
+        body_before = self.body_bytes + self.skipped_bytes
         if len(self.prefix) < len(PROTOCOL):
             self._check_protocol(chunk)
         try:
@@ -96,7 +96,7 @@
         except httptools.HttpParserError as error:
             raise ResponseError(str(error)) from error
         self._check_overhead()
-        self._check_gap(len(chunk), previous)
+        self._check_gap(len(chunk), body_before)
         return self.pop_body()
 
     def pop_body(self) -> bytes:
@@ -175,7 +175,7 @@
             self.keeps_alive = self.parser.should_keep_alive()
 
     def _check_protocol(self, chunk: bytes) -> None:
-        """Raise an error for other protocols that the parser reads."""
+        """Raise an error for RTSP and ICE, which the parser reads as well."""
         start = (self.prefix + chunk).lstrip(b'\r\n')
         self.prefix = start[: len(PROTOCOL)]
         if not PROTOCOL.startswith(self.prefix):
@@ -207,15 +207,15 @@
             raise ResponseError(f'transfer codings {codings}')
         return True
 
-    def _check_gap(self, size: int, previous: int) -> None:
-        """Bound what comes between parts of the body, as trailers do.
+    def _check_gap(self, fed: int, body_before: int) -> None:
+        """Bound the bytes without a part of the body, such as trailers.
 
-        The parser keeps a field until it ends.
+        The parser keeps a field in memory until it ends.
         """
-        if self.body_bytes + self.skipped_bytes > previous:
+        if self.body_bytes + self.skipped_bytes > body_before:
             self.gap_bytes = 0
             return
-        self.gap_bytes += size
+        self.gap_bytes += fed
         if self.gap_bytes > MAX_OVERHEAD_BYTES:
             raise ResponseError(f'{self.gap_bytes} bytes without a body')
 
--- a/tests/budgeting/test_faulty_workers.py
+++ b/tests/budgeting/test_faulty_workers.py
@@ -20,6 +20,7 @@
 LARGE = b'y' * 60000
 LARGE_CHUNK = b'%x\r\n%b\r\n' % (len(LARGE), LARGE)
 BODY = LARGE_CHUNK * 40
+EVENT_CHUNK = b'3e8\r\ndata: %b\n\n\r\n' % FILL[:992]
 PLAIN = 'faulty'
 EVENTS = 'faulty stream'
 # The kind of route, what a worker sends once, then again and again, and how
@@ -49,6 +50,7 @@
         LARGE,
     ),
     'an event without end': (EVENTS, OK + STREAM + CHUNKED, CHUNK),
+    'events without end': (EVENTS, OK + STREAM + CHUNKED, EVENT_CHUNK * 60),
     'an event that stops': (EVENTS, OK + STREAM + CHUNKED, CHUNK, 1000),
     'trailers without end': (
         PLAIN,
@@ -57,6 +59,7 @@
     ),
 }
 WORKERS = 4
+PLAY_S = 10  # streams of events without end never settle
 SLOTS = 100
 ORDINARY_BODY = bytes(1024)
 
@@ -96,19 +99,30 @@
     )
 
 
+def ask_and_read_slowly(target, number):
+    """The same, but the answer is read a few bytes at a time, or not."""
+    script = ask(target, number)
+    script.is_slow = True
+    script.read_bytes = 64 * (number % 2)
+    return script
+
+
+@pytest.mark.parametrize('pattern', [ask, ask_and_read_slowly])
 @pytest.mark.parametrize('name', CASES)
-def test_a_process_outlives_faulty_workers_and_serves_others(name, tmp_path):
+def test_a_process_outlives_faulty_workers_and_serves_others(
+    name, pattern, tmp_path
+):
     target, *case = CASES[name]
     prepare = functools.partial(add_faulty_workers, case)
     with front_door.start(tmp_path, prepare) as door:
         targets = door.get_targets(target, target)
-        with contextlib.closing(crowds.Crowd(ask, targets)) as crowd:
+        with contextlib.closing(crowds.Crowd(pattern, targets)) as crowd:
             crowd.send_all()
-            door.settle(crowd)
+            door.settle(crowd, PLAY_S)
             is_ready = door.is_served('ready')
             is_served = door.is_served('data', ORDINARY_BODY)
         used = door.measure()
-        print(name, used, is_ready, is_served)
+        print(name, pattern.__name__, used, is_ready, is_served)
 
         assert door.is_running()
         assert used.peak_bytes <= front_door.MEMORY_MB * 1_000_000
--- a/tests/support/front_door.py
+++ b/tests/support/front_door.py
@@ -123,9 +123,9 @@
             time.sleep(0.5)
         return False
 
-    def settle(self, crowd):
+    def settle(self, crowd, limit_s=START_S):
         """Wait until the process has read and answered what the crowd sent."""
-        until = time.monotonic() + START_S
+        until = time.monotonic() + limit_s
         quiet = 0
         previous = None
         while quiet < 5 and time.monotonic() < until and self.is_running():
