--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -86,7 +86,7 @@
         the body than a response needs.
         """
         self.fed_bytes += len(chunk)
-        body_before = self.body_bytes + self.skipped_bytes
+        self.gap_bytes += len(chunk)
         if len(self.prefix) < len(PROTOCOL):
             self._check_protocol(chunk)
         try:
@@ -96,7 +96,7 @@
         except httptools.HttpParserError as error:
             raise ResponseError(str(error)) from error
         self._check_overhead()
-        self._check_gap(len(chunk), body_before)
+        self._check_gap()
         return self.pop_body()
 
     def pop_body(self) -> bytes:
@@ -151,7 +151,11 @@
             self.headers.clear()
             self.fields.clear()
             return
-        self.is_framed = self._is_chunked() or 'content-length' in self.headers
+        self._check_transfer_codings()
+        self.is_framed = (
+            'content-length' in self.headers
+            or TRANSFER_ENCODING in self.headers
+        )
         self.is_skipping = self.is_for_other_call(self.headers)
         if self.is_skipping and not self.is_framed:
             raise ResponseError('response to another call has no length')
@@ -159,6 +163,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Store a part of the body unless the response is skipped."""
+        self.gap_bytes = 0
         if self.is_skipping:
             self.skipped_bytes += len(part)
         else:
@@ -194,10 +199,10 @@
             raise ResponseError('switch to a protocol that was not offered')
         return status
 
-    def _is_chunked(self) -> bool:
-        """Return whether the body is chunked; no other coding is decoded."""
+    def _check_transfer_codings(self) -> None:
+        """Raise an error for a body that is encoded but not just chunked."""
         if TRANSFER_ENCODING not in self.headers:
-            return False
+            return
         codings = [
             text.decode('latin-1').strip().lower()
             for name, text in self.fields
@@ -205,19 +210,6 @@
         ]
         if codings != [CHUNKED]:
             raise ResponseError(f'transfer codings {codings}')
-        return True
-
-    def _check_gap(self, fed: int, body_before: int) -> None:
-        """Bound the bytes without a part of the body, such as trailers.
-
-        The parser keeps a field in memory until it ends.
-        """
-        if self.body_bytes + self.skipped_bytes > body_before:
-            self.gap_bytes = 0
-            return
-        self.gap_bytes += fed
-        if self.gap_bytes > MAX_OVERHEAD_BYTES:
-            raise ResponseError(f'{self.gap_bytes} bytes without a body')
 
     def _check_overhead(self) -> None:
         if self.interim_responses > MAX_INTERIM_RESPONSES:
@@ -231,3 +223,11 @@
         )
         if excess:
             raise ResponseError(excess)
+
+    def _check_gap(self) -> None:
+        """Bound the bytes without a part of the body, such as trailers.
+
+        The parser keeps a trailer in memory until it ends.
+        """
+        if self.gap_bytes > MAX_OVERHEAD_BYTES:
+            raise ResponseError(f'{self.gap_bytes} bytes without a body')
--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -228,10 +228,9 @@
             return
         # Counted first: a reset also drops the bytes that wait.
         waiting = connection.unsent or count_unacknowledged(connection.sock)
-        code = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self.close(connection, errno.errorcode.get(code, str(code)))
-        elif waiting:
+        if self._close_if_failed(connection):
+            return
+        if waiting:
             self.timers.call_later(
                 DELIVERY_CHECK_S, lambda: self._check_delivery(connection)
             )
@@ -254,9 +253,7 @@
             self.close(connection, 'connection refused or reset')
 
     def _open(self, connection: Connection) -> bool:
-        code = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self.close(connection, errno.errorcode.get(code, str(code)))
+        if self._close_if_failed(connection):
             return False
         connection.connect_timer.cancel()
         connection.is_open = True
@@ -265,6 +262,13 @@
         self._notify(connection, connection.receiver.on_open)
         return not connection.is_closed
 
+    def _close_if_failed(self, connection: Connection) -> bool:
+        """Close a connection with a pending error; return whether it had one."""
+        code = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self.close(connection, errno.errorcode.get(code, str(code)))
+        return bool(code)
+
     def _notify(
         self, connection: Connection, notify: abc.Callable[[], None]
     ) -> None:
--- a/tests/evacuations/test_evacuation_machine.py
+++ b/tests/evacuations/test_evacuation_machine.py
@@ -201,7 +201,7 @@
     ('entry_count', 'serving_count', 'examples'),
     [
         # Not strict: which examples are drawn follows the constants of the
-        # modules that are loaded. The test below plays the one that breaks.
+        # modules that are loaded. The last test plays the one that breaks.
         pytest.param(
             7,
             4,
--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -5,8 +5,11 @@
 from tests.support import platform_system, scripted
 
 SIGNED = b'Signature: s\r\nAttempt-Id: %b\r\n'
-BODY = b'Content-Length: 16\r\n\r\nid: 1\ndata: t1\n\n'
-WHOLE = b'HTTP/1.1 200 OK\r\n' + SIGNED + BODY
+EVENT = b'id: 1\ndata: t1\n\n'
+BODY = b'Content-Length: 16\r\n\r\n' + EVENT
+CHUNKED_BODY = scripted.encode_chunk(EVENT) + b'0\r\n\r\n'
+START = b'HTTP/1.1 200 OK\r\n' + SIGNED
+WHOLE = START + BODY
 INVALID_STATUSES = [b'000', b'001', b'099', b'600', b'999']
 
 
@@ -110,29 +113,18 @@
     ],
 )
 def test_a_body_with_another_framing_is_no_answer(path, framing):
-    event = b'id: 1\ndata: t1\n\n'
-    body = scripted.encode_chunk(event) + b'0\r\n\r\n'
-    if b'Transfer-Encoding' not in framing:
-        body = event
-    wire = b'HTTP/1.1 200 OK\r\n' + SIGNED + framing + b'\r\n' + body
-    check_not_relayed(path, wire)
+    body = CHUNKED_BODY if b'Transfer-Encoding' in framing else EVENT
+    check_not_relayed(path, START + framing + b'\r\n' + body)
 
 
 @pytest.mark.parametrize('coding', [b'chunked', b'Chunked', b' chunked '])
 def test_a_chunked_body_is_relayed(path, coding):
     deployed = platform_system.PlatformSystem().build(workers=1)
-    event = b'id: 1\ndata: t1\n\n'
-    answer = ask_worker(
-        deployed,
-        path,
-        b'HTTP/1.1 200 OK\r\n'
-        + SIGNED
-        + b'Transfer-Encoding: %b\r\n\r\n'.replace(b'%b', coding)
-        + scripted.encode_chunk(event)
-        + b'0\r\n\r\n',
-    )
+    field = b'Transfer-Encoding: ' + coding
+    wire = START + field + b'\r\n\r\n' + CHUNKED_BODY
+    answer = ask_worker(deployed, path, wire)
     assert answer.status == 200
-    assert answer.body == event
+    assert answer.body == EVENT
 
 
 @pytest.mark.parametrize(
@@ -188,12 +180,12 @@
 @pytest.mark.parametrize('field', [b'X Y: 1', b'X-Y : 1', b'X\x01Y: 1'])
 def test_a_malformed_trailer_never_ends_an_answer(path, field):
     deployed = platform_system.PlatformSystem().build(workers=1)
+    end = b'0\r\n' + field + b'\r\n\r\n'
     wire = (
-        b'HTTP/1.1 200 OK\r\n'
-        + SIGNED
+        START
         + b'Transfer-Encoding: chunked\r\n\r\n'
-        + scripted.encode_chunk(b'id: 1\ndata: t1\n\n')
-        + b'0\r\n%b\r\n\r\n'.replace(b'%b', field)
+        + scripted.encode_chunk(EVENT)
+        + end
     )
     answer = ask_worker(deployed, path, wire)
     assert not (answer.status == 200 and answer.is_complete)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -133,16 +133,20 @@
     assert send(loop, port).body == b'body'
 
 
-def test_a_response_without_length_is_incomplete_after_a_reset(loop, listener):
-    reset = struct.pack('ii', 1, 0)
+def reset(sock):
+    """Close a socket with a reset."""
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    sock.close()
+
 
+def test_a_response_without_length_is_incomplete_after_a_reset(loop, listener):
     def serve():
         sock, _ = listener.accept()
         sock.recv(65536)
         sock.sendall(BARE)
         time.sleep(0.2)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
-        sock.close()
+        reset(sock)
 
     threading.Thread(target=serve, daemon=True).start()
     failure = send(loop, listener.getsockname()[1])
@@ -152,9 +156,7 @@
 def shut_and_reset(sock):
     sock.shutdown(socket.SHUT_WR)
     time.sleep(0.1)
-    reset = struct.pack('ii', 1, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
-    sock.close()
+    reset(sock)
 
 
 def shut_and_close(sock):
