Tests: malformed answers through a peer, and of a peer

An entry that reaches no worker forwards its requests. A worker that gets no request ends such a test instead of letting it run for ever.

--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -10,6 +10,7 @@
 CHUNKED_BODY = scripted.encode_chunk(EVENT) + b'0\r\n\r\n'
 START = b'HTTP/1.1 200 OK\r\n' + SIGNED
 WHOLE = START + BODY
+MAX_TRIES = 30
 INVALID_STATUSES = [b'000', b'001', b'099', b'600', b'999']
 
 
@@ -28,9 +29,11 @@
     """Return the answer to a request that a worker answered with ``wire``."""
     name = 'llm-0' if path.startswith('/stream') else 'app-0'
     server = scripted.replace_worker(deployed, name, answer_with(wire))
-    while not server.requests:
+    for _ in range(MAX_TRIES):
         answer = deployed.ask(path, method='POST', run_s=1.0)
-    return answer
+        if server.requests:
+            return answer
+    raise TimeoutError('no request came to the worker')
 
 
 def check_not_relayed(path, wire):
@@ -203,3 +206,52 @@
         wire = WHOLE.replace(b'Content-Length: 16\r\n', b'')
     end = min(length, wire.index(b'\r\n\r\n') + 3)
     check_not_relayed(path, wire[:end])
+
+
+def build_forwarding():
+    """Return two gateways, of which the first reaches no worker."""
+    deployed = platform_system.PlatformSystem().build(workers=1, gateways=2)
+    deployed.world.refuse(['gateway-0'], deployed.workers)
+    deployed.press(['gateway-0'], 3, 20)
+    # Connections to the stand-ins that the tests replace.
+    for gateway in deployed.gateways.values():
+        for address, _ in tuple(gateway.services.client.idle):
+            gateway.services.client.drop_idle(address)
+    return deployed
+
+
+MALFORMED = {
+    'status': WHOLE.replace(b'200', b'000'),
+    'field': START + b'X Y: 1\r\n' + BODY,
+    'coding': START
+    + b'Transfer-Encoding: gzip, chunked\r\n\r\n'
+    + CHUNKED_BODY,
+    'head': WHOLE[:60],
+    'body': WHOLE[:-1],
+}
+
+
+@pytest.mark.parametrize('case', MALFORMED)
+def test_a_malformed_answer_never_comes_through_a_peer(path, case):
+    deployed = build_forwarding()
+    answer = ask_worker(deployed, path, MALFORMED[case])
+
+    assert 'signature' not in answer.headers
+    assert (answer.status, answer.is_complete) == (502, True)
+
+
+@pytest.mark.parametrize('case', MALFORMED)
+def test_a_malformed_answer_of_a_peer_is_no_answer(path, case):
+    deployed = build_forwarding()
+    front = deployed.gateways['gateway-1'].settings.listeners.front
+    peer = scripted.ScriptedServer(
+        deployed.gateway_hosts['gateway-1'],
+        front,
+        answer_with(MALFORMED[case]),
+    )
+    answer = deployed.ask(path, method='POST', run_s=1.0)
+
+    assert peer.requests
+    assert 'signature' not in answer.headers
+    assert not answer.status < 300
+    assert answer.is_complete
