--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -6,12 +6,16 @@
 
 SIGNED = b'Signature: s\r\nAttempt-Id: %b\r\n'
 EVENT = b'id: 1\ndata: t1\n\n'
-BODY = b'Content-Length: 16\r\n\r\n' + EVENT
+LENGTH = b'Content-Length: 16\r\n'
+BODY = LENGTH + b'\r\n' + EVENT
 CHUNKED_BODY = scripted.encode_chunk(EVENT) + b'0\r\n\r\n'
 START = b'HTTP/1.1 200 OK\r\n' + SIGNED
 WHOLE = START + BODY
 MAX_TRIES = 30
 INVALID_STATUSES = [b'000', b'001', b'099', b'600', b'999']
+INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
+OTHER_CALL = WHOLE.replace(b'%b', b'other')
+ZERO = WHOLE.replace(b'200', b'000')
 
 
 def answer_with(wire):
@@ -60,6 +64,23 @@
     check_not_relayed(path, WHOLE.replace(b'200', status))
 
 
+STATUS_000 = {
+    'alone': b'HTTP/1.1 000\r\n\r\n',
+    'without a reason phrase': ZERO.replace(b' OK', b''),
+    'without a length': ZERO.replace(LENGTH, b''),
+    'under HTTP/1.0': ZERO.replace(b'HTTP/1.1', b'HTTP/1.0'),
+    'after an interim answer': INTERIM + ZERO,
+    'after two interim answers': INTERIM * 2 + ZERO,
+    'after an answer to another call': OTHER_CALL + ZERO,
+    'as an interim answer': INTERIM.replace(b'103', b'000') + WHOLE,
+}
+
+
+@pytest.mark.parametrize('case', STATUS_000)
+def test_status_000_is_no_answer_wherever_it_stands(path, case):
+    check_not_relayed(path, STATUS_000[case])
+
+
 @pytest.mark.parametrize('status', INVALID_STATUSES)
 def test_a_worker_with_invalid_statuses_is_ejected(status):
     deployed = platform_system.PlatformSystem().build(workers=1)
