--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -13,9 +13,12 @@
 LAST_STATUS = 599  # higher ones are invalid (RFC 9110, section 15)
 PROTOCOL = b'HTTP/'
 VERSIONS = frozenset(('1.0', '1.1'))
+CONTENT_LENGTH = 'content-length'
 TRANSFER_ENCODING = 'transfer-encoding'
 CHUNKED = 'chunked'
 CONTROL_BYTE = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
+# Ends a head, and a chunked body; the line before may be in earlier bytes.
+EMPTY_LINE = re.compile(rb'^\r?\n', re.MULTILINE)
 # Bytes of heads, chunk headers and trailers, beside those of the body.
 MAX_OVERHEAD_BYTES = 65536
 MAX_INTERIM_RESPONSES = 16
@@ -56,12 +59,14 @@
         'prefix',
         'skipped_bytes',
         'status',
+        'unskipped_bytes',
     )
 
     def __init__(self, is_for_other_call: IsForOtherCall | None = None) -> None:
         """Skip responses whose headers show that they are for another call."""
         self.is_for_other_call = is_for_other_call or _is_never_for_other_call
         self.is_skipping = False
+        self.unskipped_bytes = 0  # of a body with a length
         self.is_in_head = True
         self.prefix = b''
         self.gap_bytes = 0
@@ -87,14 +92,11 @@
         """
         self.fed_bytes += len(chunk)
         self.gap_bytes += len(chunk)
-        if len(self.prefix) < len(PROTOCOL):
-            self._check_protocol(chunk)
-        try:
-            self.parser.feed_data(chunk)
-        except httptools.HttpParserCallbackError as error:
-            raise ResponseError(str(error.__context__)) from error
-        except httptools.HttpParserError as error:
-            raise ResponseError(str(error)) from error
+        start = 0
+        while start < len(chunk):
+            end = self._find_boundary(chunk, start)
+            self._parse(chunk[start:end])
+            start = end
         self._check_overhead()
         self._check_gap()
         return self.pop_body()
@@ -153,12 +155,13 @@
             return
         self._check_transfer_codings()
         self.is_framed = (
-            'content-length' in self.headers
-            or TRANSFER_ENCODING in self.headers
+            CONTENT_LENGTH in self.headers or TRANSFER_ENCODING in self.headers
         )
         self.is_skipping = self.is_for_other_call(self.headers)
         if self.is_skipping and not self.is_framed:
             raise ResponseError('response to another call has no length')
+        if self.is_skipping:
+            self.unskipped_bytes = int(self.headers.get(CONTENT_LENGTH, 0))
         self.has_head = not self.is_skipping
 
     def on_body(self, part: bytes) -> None:
@@ -166,18 +169,44 @@
         self.gap_bytes = 0
         if self.is_skipping:
             self.skipped_bytes += len(part)
+            self.unskipped_bytes = max(0, self.unskipped_bytes - len(part))
         else:
             self.body_bytes += len(part)
             self.body.append(part)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete, or continue after a skipped one."""
-        if self.is_skipping:
-            self.headers.clear()
-            self.fields.clear()
-        elif self.has_head:
+        if self.has_head:
             self.is_complete = True
             self.keeps_alive = self.parser.should_keep_alive()
+            return
+        self.headers.clear()
+        self.fields.clear()
+        self.prefix = b''
+        self.unskipped_bytes = 0
+
+    def _find_boundary(self, chunk: bytes, start: int) -> int:
+        """Return an end up to which bytes belong to one message.
+
+        The parser doesn't tell where in a chunk a message begins, whose
+        protocol is checked.
+        """
+        if self.has_head:
+            return len(chunk)
+        if self.unskipped_bytes:
+            return min(start + self.unskipped_bytes, len(chunk))
+        empty_line = EMPTY_LINE.search(chunk, start)
+        return empty_line.end() if empty_line else len(chunk)
+
+    def _parse(self, chunk: bytes) -> None:
+        if len(self.prefix) < len(PROTOCOL):
+            self._check_protocol(chunk)
+        try:
+            self.parser.feed_data(chunk)
+        except httptools.HttpParserCallbackError as error:
+            raise ResponseError(str(error.__context__)) from error
+        except httptools.HttpParserError as error:
+            raise ResponseError(str(error)) from error
 
     def _check_protocol(self, chunk: bytes) -> None:
         """Raise an error for RTSP and ICE, which the parser reads as well."""
--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -81,6 +81,16 @@
     check_not_relayed(path, STATUS_000[case])
 
 
+@pytest.mark.parametrize('protocol', [b'RTSP/1.0', b'ICE/1.0', b'HTTPS/1.1'])
+@pytest.mark.parametrize(
+    'before',
+    [INTERIM, INTERIM * 2, OTHER_CALL, INTERIM + OTHER_CALL],
+    ids=['interim', 'two interim', 'other call', 'both'],
+)
+def test_another_protocol_is_no_answer_after_others(path, before, protocol):
+    check_not_relayed(path, before + WHOLE.replace(b'HTTP/1.1', protocol))
+
+
 @pytest.mark.parametrize('status', INVALID_STATUSES)
 def test_a_worker_with_invalid_statuses_is_ejected(status):
     deployed = platform_system.PlatformSystem().build(workers=1)
--- a/tests/transport/test_responses.py
+++ b/tests/transport/test_responses.py
@@ -61,6 +61,28 @@
     assert read(BEFORE[before] + OWN, size) == (200, b'own')
 
 
+@pytest.mark.parametrize('size', SIZES)
+@pytest.mark.parametrize('protocol', [b'RTSP/1.0', b'ICE/1.0', b'HTTP/2.0'])
+@pytest.mark.parametrize('before', BEFORE)
+def test_another_protocol_is_an_error_behind_others(before, protocol, size):
+    wire = BEFORE[before] + OWN.replace(b'HTTP/1.1', protocol)
+    assert isinstance(read(wire, size), responses.ResponseError)
+
+
+@pytest.mark.parametrize('protocol', [b'RTSP/1.0', b'ICE/1.0'])
+@pytest.mark.parametrize('name', BODIES)
+def test_another_protocol_is_an_error_wherever_bytes_are_cut(name, protocol):
+    before = INTERIM + OTHER_HEAD + BODIES[name]
+    wire = before + OWN.replace(b'HTTP/1.1', protocol)
+    for at in range(1, len(wire)):
+        reader = responses.ResponseReader(
+            lambda headers: headers['x-call'] == 'other'
+        )
+        with pytest.raises(responses.ResponseError):
+            for part in (wire[:at], wire[at:]):
+                reader.feed(part)
+
+
 @pytest.mark.parametrize('before', [b'', INTERIM], ids=['alone', 'interim'])
 @pytest.mark.parametrize(
     'pattern', [b'%b', b'%bX', b'X%bY', b'X%b', b'Content-Length%b']
