--- a/citronjunction/transport/encoding.py
+++ b/citronjunction/transport/encoding.py
@@ -1,7 +1,26 @@
-"""Encoding of the heads of HTTP responses."""
+"""Encoding of the heads of HTTP requests and responses."""
 
 import http
 from collections import abc
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from citronjunction.transport import http_client
+
+BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
+
+
+def encode_call_head(call: 'http_client.Call') -> bytes:
+    """Encode the request line and headers of a call."""
+    lines = [
+        f'{call.method} {call.path} HTTP/1.1',
+        f'Host: {call.host or call.address}',
+    ]
+    lines.extend(f'{name}: {text}' for name, text in call.headers.items())
+    if call.body or call.method in BODY_METHODS:
+        lines.append(f'Content-Length: {len(call.body)}')
+    lines.append('\r\n')
+    return '\r\n'.join(lines).encode('latin-1')
 
 
 def get_reason_phrase(status: int) -> bytes:
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -10,6 +10,7 @@
 
 from citronjunction.transport import (
     echoes,
+    encoding,
     keep_alive,
     responses,
     sockets,
@@ -22,7 +23,6 @@
 MAX_UNSENT_BYTES = 8388608  # more unsent bytes close the connection
 NO_REUSE_S = -1.0  # as ``max_idle_s``: always open a new connection
 MIN_CHECK_S = 0.001  # a shorter delay may be lost in rounding, without end
-BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -140,7 +140,7 @@
         self.is_sent = True
         self.opened_at = self.client.timers.now()
         self._start_silence_timer()
-        request = encode_head(self.call) + self.call.body
+        request = encoding.encode_call_head(self.call) + self.call.body
         if self.call.body:
             self.call = dataclasses.replace(self.call, body=b'')
         self.client.sockets.send(self.connection, request)
@@ -376,16 +376,3 @@
     def on_end(self) -> None:
         """Pass the complete response on."""
         self.on_reply(Reply(self.status, self.headers, bytes(self.body)))
-
-
-def encode_head(call: Call) -> bytes:
-    """Encode the request line and headers of a call."""
-    lines = [
-        f'{call.method} {call.path} HTTP/1.1',
-        f'Host: {call.host or call.address}',
-    ]
-    lines.extend(f'{name}: {text}' for name, text in call.headers.items())
-    if call.body or call.method in BODY_METHODS:
-        lines.append(f'Content-Length: {len(call.body)}')
-    lines.append('\r\n')
-    return '\r\n'.join(lines).encode('latin-1')
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -11,7 +11,7 @@
     registry,
     upstream_calls,
 )
-from citronjunction.transport import http_client, http_server
+from citronjunction.transport import encoding, http_client, http_server
 
 JSON_VALUES = strategies.recursive(
     strategies.none()
@@ -113,7 +113,7 @@
     )
 
     call = upstream_calls.encode(caller_requests.decode(REQUEST), assignment)
-    head = http_client.encode_head(call).decode()
+    head = encoding.encode_call_head(call).decode()
 
     assert head.startswith('POST /a/b?q=1 HTTP/1.1\r\nHost: x.example\r\n')
     for line in (
