--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -15,6 +15,7 @@
     responses,
     sockets,
     timer_queue,
+    unframed,
 )
 from citronjunction.verdicts import models as verdicts
 
@@ -101,6 +102,7 @@
     """Run one call at a time on a connection that later calls may reuse."""
 
     __slots__ = (
+        'body_bytes',
         'call',
         'client',
         'connection',
@@ -127,6 +129,7 @@
         """Reset the state for the next call on the connection."""
         self.call = call
         self.sink: Sink | None = sink
+        self.body_bytes = len(call.body)
         self.is_sent = False
         self.opened_at: float = 0
         self.loss_code = 'connection_lost'
@@ -202,22 +205,36 @@
     def _deliver(self, part: bytes) -> None:
         reader = self.reader
         if reader.has_head and not self.is_head_delivered:
-            self.is_head_delivered = True
-            # A peer that closes with a part of the request unread resets the
-            # connection, and its answer may lack the end.
-            self.connection.must_deliver = not reader.is_framed
-            head = Head(
-                reader.status,
-                reader.headers,
-                reader.fields,
-                reader.is_framed,
-            )
-            self.sink.on_head(head)
+            self._deliver_head()
         if part and self.sink is not None and not self._pass_on(part):
             return
         if reader.is_complete and self.sink is not None:
             self._complete()
 
+    def _deliver_head(self) -> None:
+        self.is_head_delivered = True
+        reader = self.reader
+        head = Head(
+            reader.status, reader.headers, reader.fields, reader.is_framed
+        )
+        self.sink.on_head(head)
+        is_cancelled = self.sink is None
+        if not (reader.is_framed or reader.is_complete or is_cancelled):
+            self._check_unframed()
+
+    def _check_unframed(self) -> None:
+        """Fail a response that may not end with its connection."""
+        connection = self.connection
+        connection.linger_s = unframed.get_linger_s(self.body_bytes)
+        undelivered = connection.count_undelivered()
+        if not unframed.may_begin(self.reader.status, undelivered):
+            self.loss_code = 'bad_answer'
+            self.client.sockets.close(
+                connection,
+                f'response without a length before {undelivered} bytes of its'
+                ' request were received',
+            )
+
     def _pass_on(self, part: bytes) -> bool:
         """Pass a part of the body on; return whether the sink took it."""
         try:
--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -23,7 +23,7 @@
 IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
 CLOSED_BY_PEER = 'closed by peer'
 CONNECT_TIMED_OUT = 'connect timed out'
-DELIVERY_CHECK_S = 0.01  # between checks for bytes that are not acknowledged
+RESET_CHECK_S = 0.01  # between checks for a reset by a peer that sends no more
 KEEPALIVE_IDLE_S = 1  # without traffic before the first probe
 KEEPALIVE_INTERVAL_S = 1  # between probes
 KEEPALIVE_PROBES = 3  # unanswered ones, where no user timeout is known
@@ -51,8 +51,9 @@
 
     ``active_at`` is when it opened or last sent or received bytes. There is no
     socket if the system could not provide one. ``on_unsent`` receives the number
-    of unsent bytes as it changes. If ``must_deliver``, the connection counts as
-    closed by its peer only once the peer has acknowledged all that was sent.
+    of unsent bytes as it changes. With ``linger_s``, a connection whose peer
+    sends no more counts as closed by it only once the peer has acknowledged all
+    that was sent, and has sent no reset for so long after it.
     """
 
     sock: socket.socket | None
@@ -66,7 +67,13 @@
     active_at: float = 0
     connect_timer: timer_queue.Timer | None = None
     on_unsent: abc.Callable[[int], None] | None = None
-    must_deliver: bool = False
+    linger_s: float | None = None
+
+    def count_undelivered(self) -> int:
+        """Return the bytes that the peer has not acknowledged, if known."""
+        if self.sock is None:
+            return len(self.unsent)
+        return len(self.unsent) + count_unacknowledged(self.sock)
 
     def report_unsent(self) -> None:
         """Report the number of unsent bytes."""
@@ -216,26 +223,29 @@
 
     def _end_input(self, connection: Connection) -> None:
         """Close a connection whose peer sends no more."""
-        if not connection.must_deliver:
+        if connection.linger_s is None:
             self.close(connection, CLOSED_BY_PEER)
             return
         self.poller.removeReader(connection.sock)
-        self._check_delivery(connection)
+        self._linger(connection, self.timers.now() + connection.linger_s)
 
-    def _check_delivery(self, connection: Connection) -> None:
-        """Close once all bytes are acknowledged, or the peer has reset."""
+    def _linger(self, connection: Connection, until: float) -> None:
+        """Close at a time, later if bytes wait, or as the peer has reset."""
         if connection.is_closed:
             return
         # Counted first: a reset also drops the bytes that wait.
-        waiting = connection.unsent or count_unacknowledged(connection.sock)
+        waiting = connection.count_undelivered()
         if self._close_if_failed(connection):
             return
+        now = self.timers.now()
         if waiting:
-            self.timers.call_later(
-                DELIVERY_CHECK_S, lambda: self._check_delivery(connection)
-            )
-        else:
+            until = now + connection.linger_s
+        elif now >= until:
             self.close(connection, CLOSED_BY_PEER)
+            return
+        self.timers.call_later(
+            RESET_CHECK_S, lambda: self._linger(connection, until)
+        )
 
     @handlers.handler('_write')
     def _on_writable(self, sock: socket.socket) -> None:
