--- a/citronjunction/gateway/responses.py
+++ b/citronjunction/gateway/responses.py
@@ -41,7 +41,8 @@
             self.exchange.abort()
             return
         self.is_started = True
-        self.exchange.start(answer.status, answer.fields, len(body))
+        length = len(body) if self.exchange.has_body else answer.length
+        self.exchange.start(answer.status, answer.fields, length)
         self.exchange.push(body)
         self.exchange.finish()
 
--- a/citronjunction/transport/encoding.py
+++ b/citronjunction/transport/encoding.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from citronjunction.transport import http_client
 
+HEAD = 'HEAD'  # the method whose responses have no body
 BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 
 
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -135,7 +135,8 @@
         self.loss_code = 'connection_lost'
         self.is_head_delivered = False
         self.reader = responses.ResponseReader(
-            call.echo and call.echo.is_of_other_call
+            call.echo and call.echo.is_of_other_call,
+            has_body=call.method != encoding.HEAD,
         )
 
     def on_open(self) -> None:
--- a/citronjunction/transport/http_server.py
+++ b/citronjunction/transport/http_server.py
@@ -70,6 +70,11 @@
         self.is_chunked = True
         self.on_disconnect: abc.Callable[[], None] | None = None
 
+    @property
+    def has_body(self) -> bool:
+        """Return whether the response may have a body."""
+        return self.request.method != encoding.HEAD
+
     def respond(
         self,
         status: int,
@@ -80,7 +85,7 @@
         if self.is_done:
             return
         self._send_head(status, encoding.encode_headers(headers), len(body))
-        if self.request.method != 'HEAD':
+        if self.has_body:
             self.connection.send(body)
         self._end()
 
@@ -101,7 +106,7 @@
 
     def push(self, chunk: bytes) -> None:
         """Send a part of the body after the head."""
-        if not chunk or self.is_done:
+        if not chunk or self.is_done or not self.has_body:
             return
         if self.is_chunked:
             chunk = b'%x\r\n%b\r\n' % (len(chunk), chunk)
@@ -110,7 +115,7 @@
     def finish(self) -> None:
         """Complete a response that ``start`` or ``start_stream`` began."""
         if not self.is_done:
-            if self.is_chunked:
+            if self.is_chunked and self.has_body:
                 self.connection.send(STREAM_END)
             self._end()
 
--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -46,6 +46,7 @@
         'fields',
         'fed_bytes',
         'gap_bytes',
+        'has_body',
         'has_head',
         'headers',
         'interim_responses',
@@ -62,9 +63,18 @@
         'unskipped_bytes',
     )
 
-    def __init__(self, is_for_other_call: IsForOtherCall | None = None) -> None:
-        """Skip responses whose headers show that they are for another call."""
+    def __init__(
+        self,
+        is_for_other_call: IsForOtherCall | None = None,
+        *,
+        has_body: bool = True,
+    ) -> None:
+        """Skip responses whose headers show that they are for another call.
+
+        Without ``has_body`` the response ends with its head.
+        """
         self.is_for_other_call = is_for_other_call or _is_never_for_other_call
+        self.has_body = has_body
         self.is_skipping = False
         self.unskipped_bytes = 0  # of a body with a length
         self.is_in_head = True
@@ -163,9 +173,14 @@
         if self.is_skipping:
             self.unskipped_bytes = int(self.headers.get(CONTENT_LENGTH, 0))
         self.has_head = not self.is_skipping
+        if self.has_head and not self.has_body:
+            self.is_framed = True
+            self.is_complete = True
 
     def on_body(self, part: bytes) -> None:
         """Store a part of the body unless the response is skipped."""
+        if self.is_complete:
+            raise ResponseError('body of a response that ends with its head')
         self.gap_bytes = 0
         if self.is_skipping:
             self.skipped_bytes += len(part)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -141,10 +141,13 @@
         assert live.ask(port, get(b'/other', CLOSE)).endswith(b'/other')
 
 
-def test_head_gets_no_body(application):
+@pytest.mark.parametrize('path', [b'/x', b'/stream'])
+def test_head_gets_no_body(application, path):
     with live.serve(application) as (port, _):
-        wire = get(b'/x', CLOSE).replace(b'GET', b'HEAD', 1)
-        assert live.ask(port, wire).endswith(b'\r\n\r\n')
+        wire = get(path, CLOSE).replace(b'GET', b'HEAD', 1)
+        head, _, body = live.ask(port, wire).partition(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200')
+        assert body == b''
 
 
 def test_too_many_pipelined_bytes_close_the_connection(application):
