--- a/citronjunction/transport/responses.py
+++ b/citronjunction/transport/responses.py
@@ -17,7 +17,7 @@
 TRANSFER_ENCODING = 'transfer-encoding'
 CHUNKED = 'chunked'
 CONTROL_BYTE = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
-# Ends a head, and a chunked body; the line before may be in earlier bytes.
+# Ends a head or a chunked body; the line before it may be in earlier bytes.
 EMPTY_LINE = re.compile(rb'^\r?\n', re.MULTILINE)
 # Bytes of heads, chunk headers and trailers, beside those of the body.
 MAX_OVERHEAD_BYTES = 65536
@@ -201,10 +201,10 @@
         self.unskipped_bytes = 0
 
     def _find_boundary(self, chunk: bytes, start: int) -> int:
-        """Return an end up to which bytes belong to one message.
+        """Return the first place behind ``start`` where a message may end.
 
-        The parser doesn't tell where in a chunk a message begins, whose
-        protocol is checked.
+        The parser doesn't tell where the next one begins, whose protocol is
+        checked.
         """
         if self.has_head:
             return len(chunk)
--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -230,7 +230,7 @@
         self._linger(connection, self.timers.now() + connection.linger_s)
 
     def _linger(self, connection: Connection, until: float) -> None:
-        """Close at a time, later if bytes wait, or as the peer has reset."""
+        """Close at a time, later while bytes wait, or after a reset."""
         if connection.is_closed:
             return
         # Counted first: a reset also drops the bytes that wait.
