--- a/tests/gateway/test_head_requests.py
+++ b/tests/gateway/test_head_requests.py
@@ -18,20 +18,14 @@
 }
 
 
-def answer_with(wire):
-    def send(connection, request):
-        name = scripted.get_header(request, 'Attempt-Id')
-        connection.send(wire.replace(b'%b', name))
-
-    return send
-
-
 @pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/stream/x'])
 @pytest.mark.parametrize('case', WIRES)
 def test_an_answer_to_head_ends_with_its_head(path, case):
     deployed = platform_system.PlatformSystem().build(workers=1)
     name = 'llm-0' if path.startswith('/stream') else 'app-0'
-    server = scripted.replace_worker(deployed, name, answer_with(WIRES[case]))
+    server = scripted.replace_worker(
+        deployed, name, scripted.answer_with(WIRES[case])
+    )
     answer = deployed.ask(path, method='HEAD', run_s=0.1)
 
     assert server.requests
--- a/tests/gateway/test_malformed_answers.py
+++ b/tests/gateway/test_malformed_answers.py
@@ -13,6 +13,7 @@
 WHOLE = START + BODY
 UPLOAD = bytes(4000)
 WINDOW = 2000  # bytes of an upload that a worker takes: its head and more
+CLOSE_S = 0.01  # after an answer
 MAX_TRIES = 30
 INVALID_STATUSES = [b'000', b'001', b'099', b'600', b'999']
 INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
@@ -21,14 +22,8 @@
 
 
 def answer_with(wire):
-    """Return a script that answers each request with bytes that name it."""
-
-    def send(connection, request):
-        name = scripted.get_header(request, 'Attempt-Id')
-        connection.send(wire.replace(b'%b', name))
-        connection.close_later(0.01)
-
-    return send
+    """Return a script that answers with bytes and closes the connection."""
+    return scripted.answer_with(wire, CLOSE_S)
 
 
 def ask_worker(deployed, path, wire, window=None):
--- a/tests/support/early.py
+++ b/tests/support/early.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import fcntl
+import http.client
 import socket
 import struct
 import sys
@@ -46,18 +47,15 @@
 
 
 def read_request(sock):
-    """Return a request with a length, read in full."""
-    received = bytearray()
-    while b'\r\n\r\n' not in received:
-        received += sock.recv(65536)
-    head, _, body = bytes(received).partition(b'\r\n\r\n')
-    fields = dict(
-        line.lower().split(b': ', 1) for line in head.split(b'\r\n')[1:]
-    )
-    length = int(fields.get(b'content-length', 0))
-    while len(body) < length:
-        body += sock.recv(1 << 20)
-    return head
+    """Return the first line of a request with a length, read in full.
+
+    It is empty if the client has left.
+    """
+    with sock.makefile('rb') as stream:
+        line = stream.readline()
+        fields = http.client.parse_headers(stream)
+        stream.read(int(fields.get('Content-Length', 0)))
+    return line
 
 
 def read_head(sock):
@@ -66,7 +64,7 @@
 
 
 def wait_for_upload(size):
-    """Return a function that reads the begin of an upload.
+    """Return a function that reads the start of an upload.
 
     It returns once the rest has arrived, too, which stays unread.
     """
@@ -136,8 +134,8 @@
     def _serve(self, sock):
         sock.settimeout(TIMEOUT_S)
         behaviour = self.behaviour
-        head = behaviour.read(sock)
-        if not head.startswith(b'POST'):
+        start = behaviour.read(sock)
+        if not start.startswith(b'POST'):
             sock.close()
             return
         self.uploads += 1
--- a/tests/support/scripted.py
+++ b/tests/support/scripted.py
@@ -51,6 +51,21 @@
     return ScriptedServer(deployed.worker_hosts[name], spec['addr'], script)
 
 
+def answer_with(wire, close_s=None):
+    """Return a script that answers each request with bytes that name it.
+
+    ``%b`` stands for the name. The connection is closed after ``close_s``.
+    """
+
+    def send(connection, request):
+        name = get_header(request, 'Attempt-Id')
+        connection.send(wire.replace(b'%b', name))
+        if close_s is not None:
+            connection.close_later(close_s)
+
+    return send
+
+
 def encode_chunk(data):
     """Encode a part of a body as a chunk."""
     return b'%x\r\n%b\r\n' % (len(data), data)
--- a/tests/transport/test_responses.py
+++ b/tests/transport/test_responses.py
@@ -5,6 +5,7 @@
 import pytest
 
 from citronjunction.transport import responses
+from tests.support import crowds
 
 OWN = b'HTTP/1.1 200 OK\r\nX-Call: own\r\nContent-Length: 3\r\n\r\nown'
 INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
@@ -41,15 +42,13 @@
 SIZES = [1, 2, 3, 5, 16, 1 << 16]  # of the pieces that bytes arrive in
 
 
-def read(wire, size=1 << 16):
+def read(*parts):
     """Return the status and body of a response, or the error of its bytes."""
     reader = responses.ResponseReader(
         lambda headers: headers['x-call'] == 'other'
     )
-    body = b''
     try:
-        for at in range(0, len(wire), size):
-            body += reader.feed(wire[at : at + size])
+        body = b''.join([reader.feed(part) for part in parts])
     except responses.ResponseError as error:
         return error
     return (reader.status, body) if reader.finish() else None
@@ -58,7 +57,8 @@
 @pytest.mark.parametrize('size', SIZES)
 @pytest.mark.parametrize('before', BEFORE)
 def test_a_response_is_read_behind_others(before, size):
-    assert read(BEFORE[before] + OWN, size) == (200, b'own')
+    parts = crowds.split(BEFORE[before] + OWN, size)
+    assert read(*parts) == (200, b'own')
 
 
 @pytest.mark.parametrize('size', SIZES)
@@ -66,7 +66,8 @@
 @pytest.mark.parametrize('before', BEFORE)
 def test_another_protocol_is_an_error_behind_others(before, protocol, size):
     wire = BEFORE[before] + OWN.replace(b'HTTP/1.1', protocol)
-    assert isinstance(read(wire, size), responses.ResponseError)
+    error = read(*crowds.split(wire, size))
+    assert isinstance(error, responses.ResponseError)
 
 
 @pytest.mark.parametrize('protocol', [b'RTSP/1.0', b'ICE/1.0'])
@@ -75,12 +76,8 @@
     before = INTERIM + OTHER_HEAD + BODIES[name]
     wire = before + OWN.replace(b'HTTP/1.1', protocol)
     for at in range(1, len(wire)):
-        reader = responses.ResponseReader(
-            lambda headers: headers['x-call'] == 'other'
-        )
-        with pytest.raises(responses.ResponseError):
-            for part in (wire[:at], wire[at:]):
-                reader.feed(part)
+        error = read(wire[:at], wire[at:])
+        assert isinstance(error, responses.ResponseError)
 
 
 @pytest.mark.parametrize('before', [b'', INTERIM], ids=['alone', 'interim'])
