--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -39,6 +40,7 @@
     'windowS': 5,
     'usageLateS': 10,
 }
+METRICS_PORT = 7601
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
@@ -464,13 +466,29 @@
     return ports
 
 
+def choose_address():
+    """Return a loopback address whose port for metrics is free.
+
+    ``deploy/node.ini`` names that port itself.
+    """
+    while True:
+        address = '127.' + '.'.join(
+            str(random.randint(low, 250)) for low in (77, 1, 2)
+        )
+        with socket.socket() as sock:
+            try:
+                sock.bind((address, METRICS_PORT))
+            except OSError:
+                continue
+        return address
+
+
 class Gateway:
     """A gateway process with its settings and its log."""
 
     def __init__(self, number, folder, store, cloud, seeds, zone):
         self.name = f'edge-{zone}-{number}'
-        # An address of its own; ``deploy/node.ini`` names one port itself.
-        self.ip = f'127.{77 + os.getpid() % 100}.{number}.{os.getpid() % 250 + 1}'
+        self.ip = choose_address()
         ports = find_ports(self.ip, 4)
         names = ('front', 'readiness', 'control', 'directory')
         self.listen = {
@@ -638,7 +656,8 @@
         for gateway in self.gateways:
             while not await gateway.is_ready():
                 if time.monotonic() > until:
-                    raise NotRun(f'{gateway.name} does not become ready')
+                    last = gateway.log.read_text()[-2000:]
+                    raise NotRun(f'{gateway.name} is not ready: {last}')
                 await asyncio.sleep(0.1)
             self.record.write('ready', gateway.name)
 
