--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,6 +11,7 @@
 import asyncio
 import itertools
 import json
+import math
 import pathlib
 import sys
 import time
@@ -45,6 +46,7 @@
         self.healed = asyncio.Event()
         self.healed.set()
         self.healed_at = 0.0
+        self.heals = []
         self.address = ''
 
     async def start(self):
@@ -64,6 +66,7 @@
         """End the cut."""
         self.is_cut = False
         self.healed_at = time.monotonic()
+        self.heals.append(self.healed_at)
         self.healed.set()
 
     async def _accept(self, reader, writer):
@@ -293,7 +296,11 @@
         if before is None or call['token'] >= before['token']:
             highest[subject] = call
             continue
-        since_heal_s = call['at'] - links[call['holder']][1].healed_at
+        heals = links[call['holder']][1].heals
+        since_heal_s = min(
+            (call['at'] - at for at in heals if at <= call['at']),
+            default=math.inf,
+        )
         record.write(
             'lower token',
             call['token'],
