Settings: a gateway starts though its platform leaves settings out

Besides, a placeholder in a text was taken for the text: a name, a data centre, an operator's token.

Names, addresses and secrets that nobody filled in are refused.

The check of odd figures is as strict as before: '' had to be reported as unusable, now '' and null must give the default and no report; all others as before.

--- a/citronjunction/commands/common.py
+++ b/citronjunction/commands/common.py
@@ -76,7 +76,7 @@
 
 
 def log_replaced(problem: exceptions.Problem) -> None:
-    """Log a number of the settings that the default replaces."""
+    """Log a value of the settings that the default replaces."""
     logging.error('unusable setting, its default is used: %s', problem)
 
 
--- a/citronjunction/conf/loader.py
+++ b/citronjunction/conf/loader.py
@@ -2,6 +2,7 @@
 
 import configparser
 import dataclasses
+import re
 from collections import abc
 
 import expression
@@ -13,6 +14,9 @@
 ReadResult = expression.Result[
     configparser.ConfigParser, tuple[exceptions.Problem, ...]
 ]
+PLACEHOLDER = re.compile(r'\{\{.*?\}\}')
+# What a template renders for a field without a value, plain or as JSON.
+NO_VALUE = frozenset(('', 'null'))
 
 
 def load_file(path: str) -> LoadResult:
@@ -29,10 +33,12 @@
     path: str,
     on_replaced: abc.Callable[[exceptions.Problem], None],
 ) -> LoadResult:
-    """Load settings like ``load_file``, but replace unusable numbers.
+    """Load settings like ``load_file``, but replace unusable values.
 
-    Each number that a key does not accept is reported to ``on_replaced``, and
-    the key keeps its default.
+    Each number that a key does not accept is reported to ``on_replaced``, as is
+    each placeholder that is not filled in, and the key keeps its default. So
+    does a key without a value, which is not reported. Texts without which a
+    process has no identity must be filled in.
     """
     return _read_file(path).bind(
         lambda parser: _load_usable(parser, path, on_replaced)
@@ -40,7 +46,7 @@
 
 
 def _load(parser: configparser.ConfigParser, path: str) -> LoadResult:
-    problems = list(_find_unknown(parser, path))
+    problems = [*_find_unknown(parser, path), *_find_unfilled(parser, path)]
     settings = models.Settings()
     for section in dataclasses.fields(models.Settings):
         values_by_key = (
@@ -59,21 +65,59 @@
     path: str,
     on_replaced: abc.Callable[[exceptions.Problem], None],
 ) -> LoadResult:
+    for problem in _remove_unset(parser, path):
+        on_replaced(problem)
     loaded = _load(parser, path)
     if loaded.is_ok():
         return loaded
+    for problem in _remove_unusable(parser, path):
+        on_replaced(problem)
+    return _load(parser, path)
+
+
+def _remove_unset(
+    parser: configparser.ConfigParser,
+    path: str,
+) -> abc.Iterator[exceptions.Problem]:
+    """Remove optional keys without a value; yield those with placeholders."""
+    for section, key, text in _iterate_known(parser):
+        if not _is_optional(key):
+            continue
+        if text in NO_VALUE:
+            parser.remove_option(section.name, key.name)
+        elif PLACEHOLDER.search(text):
+            parser.remove_option(section.name, key.name)
+            yield _build_unfilled(section.name, key.name, path)
+
+
+def _remove_unusable(
+    parser: configparser.ConfigParser,
+    path: str,
+) -> abc.Iterator[exceptions.Problem]:
+    for section, key, text in _iterate_known(parser):
+        if not _is_number(key):
+            continue
+        problem = _check_key(section, key.name, text, path)
+        if problem is not None:
+            parser.remove_option(section.name, key.name)
+            yield problem
+
+
+def _iterate_known(
+    parser: configparser.ConfigParser,
+) -> abc.Iterator[tuple[dataclasses.Field, dataclasses.Field, str]]:
+    """Yield the section, key and text of each known key of the file."""
     for section in dataclasses.fields(models.Settings):
         if section.name not in parser:
             continue
         for key in dataclasses.fields(section.type):
             text = parser[section.name].get(key.name)
-            if text is None or not _is_number(key):
-                continue
-            problem = _check_key(section, key.name, text, path)
-            if problem is not None:
-                on_replaced(problem)
-                parser.remove_option(section.name, key.name)
-    return _load(parser, path)
+            if text is not None:
+                yield section, key, text
+
+
+def _is_optional(key: dataclasses.Field) -> bool:
+    return _is_number(key) or not key.default
 
 
 def _is_number(key: dataclasses.Field) -> bool:
@@ -139,6 +183,24 @@
                 yield exceptions.Problem('E004', place, 'unknown key.', hint)
 
 
+def _find_unfilled(
+    parser: configparser.ConfigParser,
+    path: str,
+) -> abc.Iterator[exceptions.Problem]:
+    for section, key, text in _iterate_known(parser):
+        if PLACEHOLDER.search(text):
+            yield _build_unfilled(section.name, key.name, path)
+
+
+def _build_unfilled(section: str, key: str, path: str) -> exceptions.Problem:
+    return exceptions.Problem(
+        'E011',
+        f'{path} [{section}] {key}',
+        'a placeholder of the template is not filled in.',
+        'give it a value, or leave the key out to use its default',
+    )
+
+
 def _fill_section(
     settings: models.Settings,
     section: dataclasses.Field,
--- a/tests/conf/test_loader.py
+++ b/tests/conf/test_loader.py
@@ -32,6 +32,8 @@
         (GOOD + '[membership2]', 'E003'),
         ('[membership]\nsecret = 0123456789abcdef\nlost_after_s = 0.5', 'E009'),
         ('', 'E010'),
+        (GOOD + '[process]\nname = {{node}}', 'E011'),
+        (GOOD + '[retries]\nslack = {{bounds.retrySlack|json}}', 'E011'),
     ],
 )
 def test_a_problem_is_reported_by_its_code(text, code):
@@ -56,6 +58,49 @@
     assert 'hush' not in ' '.join(map(str, problems))
 
 
+def load_usable(tmp_path, text):
+    path = tmp_path / 'x.ini'
+    path.write_text(text, encoding='utf-8')
+    problems = []
+    return loader.load_usable_file(str(path), problems.append), problems
+
+
+@pytest.mark.parametrize('key', ['name', 'region', 'zone', 'address'])
+def test_an_identity_that_is_not_filled_in_is_refused(tmp_path, key):
+    """Guards against hosts that all run under the name of a placeholder."""
+    loaded, _ = load_usable(tmp_path, f'{GOOD}[process]\n{key} = {{{{a.b}}}}')
+    assert 'E011' in [problem.code for problem in loaded.error]
+
+
+def test_a_token_that_is_not_filled_in_gives_no_access(tmp_path):
+    """Guards against a placeholder that operators' requests could name."""
+    loaded, problems = load_usable(
+        tmp_path, GOOD + '[process]\noperator_token = {{tokens.operator}}'
+    )
+    assert not loaded.ok.process.operator_token
+    assert [problem.code for problem in problems] == ['E011']
+
+
+def test_a_secret_that_is_not_filled_in_is_refused(tmp_path):
+    loaded, _ = load_usable(
+        tmp_path, '[membership]\nsecret = {{peers.secret_of_all}}'
+    )
+    assert 'E010' in [problem.code for problem in loaded.error]
+
+
+@pytest.mark.parametrize('text', ['', 'null'])
+def test_a_key_without_a_value_keeps_its_default(tmp_path, text):
+    loaded, problems = load_usable(
+        tmp_path,
+        f'{GOOD}seeds = {text}\n[retries]\nslack = {text}\n'
+        f'[pacing]\nfollows_answers = {text}\n',
+    )
+    assert loaded.ok.retries.slack == 50
+    assert loaded.ok.pacing.follows_answers is False
+    assert loaded.ok.membership.seeds == ''
+    assert not problems
+
+
 @given(st.text(max_size=200))
 @settings(derandomize=True, max_examples=200, deadline=None)
 def test_no_text_raises(text):
