A removal that a silent source has missed gets no grace period

What callers could see: requests at a worker that had left without saying so before, more than 3 s after its registration was removed (DRAIN).

Cause: a worker whose registration vanishes stays in use for 1.4 s, from the moment at which a standby notices it. If its source had fallen silent, the removal was up to 2.3 s old by then.

Change: while the peers that are followed are silent or doubted, a removal that is found by a list counts at once. It does not if an earlier list was not answered: in an outage of the store registrations lapse, and return soon after it.

Workers whose registrations lapse in an outage stay in use, as before.

--- a/citronjunction/gateway/sources.py
+++ b/citronjunction/gateway/sources.py
@@ -37,6 +37,7 @@
         'copying',
         'doubted_at',
         'is_silent',
+        'is_store_away',
         'peers',
         'polled_at',
         'services',
@@ -62,6 +63,8 @@
         # When a peer that is followed asked for copies last.
         self.doubted_at = float('-inf')
         self.is_silent = False
+        # Whether a list of the store was not answered either.
+        self.is_store_away = False
         copier.on_asked = self._on_asked
 
     def start(self) -> None:
@@ -92,8 +95,17 @@
                 silent_s=round(silent_s, 3),
                 links=sorted(self.peers.open_links),
             )
+        is_doubted = now - self.doubted_at <= DOUBT_S
+        if not (is_silent or is_doubted):
+            self.polled_at = float('-inf')
+            self.is_store_away = False
         if is_silent:
             self._poll(now)
+        self.watcher.is_source_unreliable = (
+            self.watcher.is_following
+            and (is_silent or is_doubted)
+            and not self.is_store_away
+        )
         self._check_evacuations(now)
 
     def _on_asked(self, link: links.Link) -> None:
@@ -106,12 +118,17 @@
         if now - self.doubted_at > DOUBT_S:
             self.services.log.write('source doubted', link.peer_name)
         self.doubted_at = now
+        self.watcher.is_source_unreliable = not self.is_store_away
         self._poll(now)
 
     def _poll(self, now: float) -> None:
-        if now - self.polled_at >= POLL_INTERVAL_S:
-            self.polled_at = now
-            self.watcher.poll()
+        if now - self.polled_at < POLL_INTERVAL_S:
+            return
+        self.is_store_away = (
+            self.watcher.doubts.get_answered_at() < self.polled_at
+        )
+        self.polled_at = now
+        self.watcher.poll()
 
     def _check_evacuations(self, now: float) -> None:
         """List a kind that the peers which this entry follows may not have."""
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -70,6 +70,8 @@
         self.probes = self._build_probes(store)
         self.is_suspended = False
         self.is_following = False
+        # Whether the peers that are followed may have missed changes.
+        self.is_source_unreliable = False
         self.rejections = rejections.Rejections(services)
         self.evacuating = evacuating.Evacuating(
             services, decoder, self.rejections
@@ -300,7 +302,10 @@
                     - since_recovery_s
                     + fleet.ABSENT_GRACE_S / 2
                 )
-        if worker.registration.state is models.WorkerState.draining:
+        is_draining = worker.registration.state is models.WorkerState.draining
+        # A removal that an unreliable source has missed may be as old as the
+        # grace period.
+        if is_draining or self.is_source_unreliable:
             return 0
         return fleet.ABSENT_GRACE_S
 
--- a/tests/gateway/test_silent_sources.py
+++ b/tests/gateway/test_silent_sources.py
@@ -151,6 +151,43 @@
         assert worker is None or worker.is_draining
 
 
+# Guards against DRAIN: the grace of a removed worker began when it was noticed.
+@pytest.mark.parametrize('seed', [1, 4, 7])
+def test_standbys_of_a_source_in_several_troubles_spare_a_removed_worker(seed):
+    fleet = Fleet(seed).build()
+    followed, standbys = fleet.find_followed()
+    fleet.silence(followed, 'cut from the store')
+    fleet.store.remove('servers', 'app-0')
+    fleet.cut_off(followed)
+    fleet.world.run(0.8)
+    fleet.silence(followed, 'frozen')
+    fleet.world.run(DRAIN_S - 0.8)
+
+    for name in standbys:
+        assert 'app-0' not in fleet.gateways[name].services.fleet.workers
+
+
+# Guards against fleets without workers after an outage of the store.
+@pytest.mark.parametrize('seed', [1, 4])
+def test_standbys_keep_workers_whose_registrations_lapse_in_an_outage(seed):
+    fleet = Fleet(seed).build()
+    _, standbys = fleet.find_followed()
+    spec = fleet.store.objects['servers', 'app-0']['spec']
+    fleet.store.is_down = True
+    fleet.store.cut_watches()
+    fleet.world.run(5.0)
+    fleet.store.remove('servers', 'app-0')
+    fleet.store.is_down = False
+    fleet.world.run(1.2)
+    fleet.store.put('servers', 'app-0', spec)
+    kept = [
+        'app-0' in fleet.gateways[name].services.fleet.workers
+        for name in standbys
+    ]
+
+    assert all(kept)
+
+
 # Guards against a load on the store that grows with the fleet.
 def test_sources_that_reach_the_store_are_not_doubted():
     fleet = Fleet(1).build()
