--- a/citronjunction/gateway/copying.py
+++ b/citronjunction/gateway/copying.py
@@ -72,15 +72,15 @@
         now = self.services.timers.now()
         for kind, kind_mirror in self.watcher.mirrors.items():
             is_doubtful = self.watcher.doubts.has(kind)
-            is_unknown = kind_mirror.lacks_store and not is_doubtful
-            pause_s = 0 if is_unknown else FOLLOW_INTERVAL_S
+            is_lacking = kind_mirror.lacks_store and not is_doubtful
+            pause_s = 0 if is_lacking else FOLLOW_INTERVAL_S
             is_due = now - self.asked_at.get(kind, 0) >= pause_s
             if not (kind_mirror.needs_copy and is_due):
                 continue
             self.asked_at[kind] = now
             if is_doubtful:
                 self.ask_all(kind)
-            elif kind_mirror.is_following or is_unknown:
+            elif kind_mirror.is_following or is_lacking:
                 self.ask_for(kind)
             else:
                 self._ask_in_turn(kind, kind_mirror)
@@ -103,6 +103,15 @@
         """Request the copy of a kind from a random peer in any case."""
         self._ask(kind, eras.UNKNOWN, -1)
 
+    def select_watching(self) -> list[links.Link]:
+        """Return the links to peers that watch the store."""
+        observed = self.peers.liveness.observed_entries
+        return [
+            link
+            for name, link in self.peers.open_links.items()
+            if name in observed and not observed[name].state.stands_by
+        ]
+
     def has_answered(self, kind: str, link: links.Link) -> bool:
         """Return whether a peer has sent what it has of a kind on a link."""
         return self.answers.get((kind, link.peer_name)) is link
@@ -145,15 +154,6 @@
                 messages.CopyWanted(kind, kind_mirror.era, kind_mirror.as_of)
             )
 
-    def select_watching(self) -> list[links.Link]:
-        """Return the links to peers that watch the store."""
-        observed = self.peers.liveness.observed_entries
-        return [
-            link
-            for name, link in self.peers.open_links.items()
-            if name in observed and not observed[name].state.stands_by
-        ]
-
     def _schedule_push(self, kind: str) -> None:
         if kind not in self.scheduled:
             self.scheduled.add(kind)
