Cloud calls: none arrives after one of the next holder

Cause: a call that is given up after 0.5 s is closed, and the kernel goes on sending its bytes for up to 3.5 s. The time limit bounded how long the sender waits, not how late the call arrives. The lease was checked before the connection opened only.

Change: a call may expire (http_client.Call.has_expired). Such a call takes a connection of its own, whose opening shows that there is a path, is dropped if the lease is no longer held once that is open, and resets the connection when it is given up, which drops what the kernel holds; so does the end of the process. Calls to the cloud expire with the lease (duties.Fence.is_held), also as it is released. The timer of a call is a module of its own (call_limits).

Why this works: bytes are sent only into a path that was there a moment ago, and what is held up after that is dropped before another holder can have the lease: 0.5 s after the check, with a margin of 1 s. The cost is a connection for each call: one in 5 s and orders.

The virtual network can hold bytes up in a partition and deliver them when TCP would send them again.

--- a/citronjunction/duties/lease_client.py
+++ b/citronjunction/duties/lease_client.py
@@ -76,11 +76,12 @@
         this entry acquired the lease. A restored store gives out revisions
         again, but not together with the same era.
         """
-        if not self.lease.is_held(self.timers.boot_time()):
+        token = self._get_token()
+        if token is None:
             return None
-        revision = _read_revision(self.lease.acquired_version)
-        token = (self.lease.acquired_era << REVISION_BITS) + revision
-        return models.Fence(self.name, token)
+        return models.Fence(
+            self.name, token, lambda: self._get_token() == token
+        )
 
     def tick(self) -> None:
         """Renew, acquire or read the lease, whichever is due."""
@@ -115,6 +116,12 @@
             case leases.Write(record=record, expected_version=expected_version):
                 self._write(record, expected_version)
 
+    def _get_token(self) -> int | None:
+        if not self.lease.is_held(self.timers.boot_time()):
+            return None
+        revision = _read_revision(self.lease.acquired_version)
+        return (self.lease.acquired_era << REVISION_BITS) + revision
+
     def _should_read(self, now: float) -> bool:
         if self.lease.is_uncertain and not self.read_at:
             return True
--- a/citronjunction/duties/models.py
+++ b/citronjunction/duties/models.py
@@ -10,11 +10,15 @@
 class Fence:
     """Identify the lease holder that makes a call.
 
-    The fencing token grows with each new holder.
+    The fencing token grows with each new holder. ``is_held`` tells whether the
+    holder still has the lease under this token.
     """
 
     holder: str
     token: int
+    is_held: abc.Callable[[], bool] = dataclasses.field(
+        repr=False, compare=False
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/citronjunction/platform/cloud.py
+++ b/citronjunction/platform/cloud.py
@@ -7,14 +7,21 @@
 from citronjunction.platform import names
 from citronjunction.transport import http_client
 
-CALL_TIMEOUT_S = 1.0  # limits how late after the lease check a call can arrive
+CONNECT_TIMEOUT_S = 0.5
+# The lease is checked again as a connection opens. Shorter than its margin, so
+# that no call is sent, or sent again, once another holder can have it.
+REPLY_TIMEOUT_S = 0.5
 MAX_REPLY_BYTES = 65536  # only the status is used
 CONFLICT = 409
 FIRST_ERROR_STATUS = 300
 
 
 class Cloud:
-    """Send usage reports and worker orders with a fencing token."""
+    """Send usage reports and worker orders with a fencing token.
+
+    The platform doesn't compare the tokens: no call may arrive after one of the
+    next holder.
+    """
 
     __slots__ = ('address', 'client')
 
@@ -67,9 +74,11 @@
             path,
             headers,
             json.dumps(document).encode(),
-            connect_s=CALL_TIMEOUT_S / 2,
-            silence_s=CALL_TIMEOUT_S / 2,
-            limit_s=CALL_TIMEOUT_S,
+            connect_s=CONNECT_TIMEOUT_S,
+            silence_s=REPLY_TIMEOUT_S,
+            limit_s=REPLY_TIMEOUT_S,
+            max_idle_s=http_client.NO_REUSE_S,
+            has_expired=lambda: not fence.is_held(),
         )
         sink = http_client.ReplyCollector(
             lambda reply: on_result(_classify_status(reply.status)),
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from citronjunction.transport import (
+    call_limits,
     echoes,
     encoding,
     keep_alive,
@@ -23,7 +24,6 @@
 MAX_REPLY_BYTES = 8388608  # longer bodies fail a call by default
 MAX_UNSENT_BYTES = 8388608  # more unsent bytes close the connection
 NO_REUSE_S = -1.0  # as ``max_idle_s``: always open a new connection
-MIN_CHECK_S = 0.001  # a shorter delay may be lost in rounding, without end
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -34,6 +34,10 @@
     either direction, ``limit_s`` the time until the response has ended,
     ``max_idle_s`` how long a reused connection may have been idle. A response
     with a different echo belongs to another call and is dropped.
+
+    ``has_expired`` tells whether the call must not be delivered any more. Such
+    a call takes a connection of its own, whose opening shows that there is a
+    path, and resets it if it is given up.
     """
 
     address: str
@@ -47,6 +51,7 @@
     max_idle_s: float = keep_alive.MAX_IDLE_S
     host: str = ''
     echo: echoes.Echo | None = None
+    has_expired: abc.Callable[[], bool] | None = None
 
     def is_identified_by(self, headers: abc.Mapping[str, str]) -> bool:
         """Return whether a later copy of a response can be told from others."""
@@ -113,14 +118,14 @@
         'loss_code',
         'opened_at',
         'reader',
-        'silence_timer',
         'sink',
+        'timer',
     )
 
     def __init__(self, client: 'HttpClient', call: Call, sink: Sink) -> None:
         self.client = client
         self.connection: sockets.Connection | None = None
-        self.silence_timer: timer_queue.Timer | None = None
+        self.timer = call_limits.CallTimer(client.timers, self)
         self.idle_s = keep_alive.MAX_IDLE_S
         self.is_reused = False
         self.assign(call, sink)
@@ -140,10 +145,15 @@
         )
 
     def on_open(self) -> None:
-        """Send the request."""
+        """Send the request, unless the call has expired meanwhile."""
+        if call_limits.has_expired(self.call):
+            self.client.sockets.close(self.connection, call_limits.EXPIRED)
+            return
+        if self.call.has_expired is not None:
+            self.connection.set_reset_at_close(is_reset=True)
         self.is_sent = True
         self.opened_at = self.client.timers.now()
-        self._start_silence_timer()
+        self.timer.start()
         request = encoding.encode_call_head(self.call) + self.call.body
         if self.call.body:
             self.call = dataclasses.replace(self.call, body=b'')
@@ -172,7 +182,7 @@
     def on_close(self, reason: str, was_open: bool) -> None:
         """Fail the call unless its response is complete."""
         self.client.discard(self)
-        self._cancel_silence_timer()
+        self.timer.cancel()
         if self.sink is None:
             return
         if self.is_sent:
@@ -181,6 +191,11 @@
         text = f'could not connect to {self.call.address}: {reason}'
         self._fail(verdicts.NotRun(text, code='connect_failed'))
 
+    def give_up(self, reason: str) -> None:
+        """Fail the call, which has exceeded a limit in time."""
+        self.loss_code = 'timeout'
+        self.client.sockets.close(self.connection, reason)
+
     def cancel(self) -> None:
         """Abandon the call and close its connection."""
         self._take_sink()
@@ -248,10 +263,11 @@
 
     def _complete(self) -> None:
         sink = self._take_sink()
-        self._cancel_silence_timer()
+        self.timer.cancel()
         if self._is_reusable():
             self.client.keep(self)
         else:
+            self.connection.set_reset_at_close(is_reset=False)
             self.client.sockets.close(self.connection, 'finished')
         sink.on_end()
 
@@ -259,37 +275,11 @@
         connection = self.connection
         if connection.is_closed or connection.unsent:
             return False
+        if self.call.has_expired is not None:
+            return False
         is_identified = self.call.is_identified_by(self.reader.headers)
         return self.reader.keeps_alive and is_identified
 
-    def _start_silence_timer(self) -> None:
-        limit_s = min(self.call.silence_s, self.call.limit_s)
-        self.silence_timer = self.client.timers.call_later(
-            limit_s,
-            self._check_silence,
-        )
-
-    def _check_silence(self) -> None:
-        timers = self.client.timers
-        now = timers.now()
-        silence_left_s = self.call.silence_s - now + self.connection.active_at
-        left_s = min(silence_left_s, self.call.limit_s - now + self.opened_at)
-        if left_s <= 0:
-            reason = f'no byte sent or received for {self.call.silence_s} s'
-            if silence_left_s > 0:
-                reason = f'no complete response within {self.call.limit_s} s'
-            self.loss_code = 'timeout'
-            self.client.sockets.close(self.connection, reason)
-            return
-        self.silence_timer = timers.call_later(
-            max(left_s, MIN_CHECK_S), self._check_silence
-        )
-
-    def _cancel_silence_timer(self) -> None:
-        if self.silence_timer is not None:
-            self.silence_timer.cancel()
-            self.silence_timer = None
-
 
 class HttpClient:
     """Send calls over connections that are pooled by address."""
--- a/citronjunction/transport/sockets.py
+++ b/citronjunction/transport/sockets.py
@@ -4,6 +4,7 @@
 import errno
 import fcntl
 import socket
+import struct
 import sys
 import termios
 from collections import abc
@@ -68,6 +69,18 @@
     connect_timer: timer_queue.Timer | None = None
     on_unsent: abc.Callable[[int], None] | None = None
     linger_s: float | None = None
+    is_reset_at_close: bool = False
+
+    def set_reset_at_close(self, *, is_reset: bool) -> None:
+        """Choose whether closing resets the connection, also by a kill.
+
+        After a reset the kernel no longer sends what the peer has not got.
+        """
+        is_changed = is_reset is not self.is_reset_at_close
+        self.is_reset_at_close = is_reset
+        if is_changed and self.sock is not None and not self.is_closed:
+            linger = struct.pack('ii', is_reset, 0)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def count_undelivered(self) -> int:
         """Return the bytes that the peer has not acknowledged, if known."""
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -34,7 +34,7 @@
         host.client, ADDRESS, eras.Eras(host.timers)
     )
     platform_cloud = cloud.Cloud(host.client, ADDRESS)
-    fence = duties.Fence('entry', 1)
+    fence = duties.Fence('entry', 1, lambda: True)
     match kind:
         case 'usage':
             report = duties.UsageReport(1, {'org': 2})
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -3,6 +3,7 @@
 Only the event loop and the sockets are replaced. Times are in seconds.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -11,6 +12,9 @@
 
 LATENCY_S = 0.001
 WALL_TIME_OFFSET_S = 1_800_000_000.0
+# When TCP sends unacknowledged bytes again, and when it gives up.
+REPEATS_S = (0.2, 0.6, 1.4, 3.0)
+USER_TIMEOUT_S = 3.5
 
 
 class World:
@@ -27,6 +31,11 @@
         self.refusals = set()
         # As by a TCP user timeout; None: bytes are lost without a trace.
         self.user_timeout_s = None
+        # Whether what a partition holds up is delivered once it has healed,
+        # unless its sender has reset the connection.
+        self.holds_bytes = False
+        self.held = []
+        self.queues = collections.defaultdict(list)  # by connection
         # By address: the bytes that a host takes of each write.
         self.windows = {}
         # Called with errors of hosts, which go on, as a process does.
@@ -77,6 +86,9 @@
     def heal(self):
         self.partitions.clear()
         self.refusals.clear()
+        held, self.held = self.held, []
+        for message in held:
+            message.schedule()
 
     def _perform(self, event):
         host = event.host
@@ -108,6 +120,66 @@
         self.call = None
 
 
+class Held:
+    """What a partition holds up of a connection."""
+
+    def __init__(self, sender, connection, remote, action, size):
+        self.world = sender.world
+        self.sender = sender
+        self.connection = connection
+        self.remote = remote
+        self.action = action
+        self.size = size
+        self.sent_at = sender.world.now
+        connection.unsent.extend(bytes(size))
+        self.queue = self.world.queues[id(connection)]
+        self.queue.append(self)
+        self._deliver_later()
+        sender.timers.call_later(USER_TIMEOUT_S, self._expire)
+
+    def _deliver_later(self):
+        if self.world.is_partitioned(self.sender, self.remote.host):
+            self.world.held.append(self)
+        else:
+            self.schedule()
+
+    def schedule(self):
+        """Deliver it as TCP does: when it is sent again."""
+        times = (self.sent_at + repeat_s for repeat_s in REPEATS_S)
+        at = next((at for at in times if at >= self.world.now), None)
+        if at is not None:
+            self.world.schedule(at, self.remote.host, self._deliver)
+
+    def _deliver(self):
+        if self not in self.queue:
+            return
+        if self.world.is_partitioned(self.sender, self.remote.host):
+            self.world.held.append(self)
+        elif self.queue[0] is not self:
+            self.world.schedule(
+                self.world.now + LATENCY_S, self.remote.host, self._deliver
+            )
+        else:
+            self._forget()
+            if not self._is_reset():
+                self.action(self.remote)
+
+    def _is_reset(self):
+        has_ended = self.connection.is_closed or not self.sender.is_alive
+        return has_ended and self.connection.is_reset_at_close
+
+    def _expire(self):
+        if self._forget():
+            self.sender.sockets.close(self.connection, 'Connection timed out')
+
+    def _forget(self):
+        if self not in self.queue:
+            return False
+        self.queue.remove(self)
+        del self.connection.unsent[: self.size]
+        return True
+
+
 class Timers:
     def __init__(self, host):
         self.host = host
@@ -166,7 +238,9 @@
         window = self.world.windows.get(connection.peer_address, len(chunk))
         connection.unsent.extend(chunk[window:])
         taken = bytes(chunk[:window])
-        self._to_remote(connection, lambda remote: remote.deliver(taken))
+        self._to_remote(
+            connection, lambda remote: remote.deliver(taken), len(taken)
+        )
 
     def count_open(self):
         return 0
@@ -207,11 +281,15 @@
         peer.receiver = accept(peer)
         connection.receiver.on_open()
 
-    def _to_remote(self, connection, action):
+    def _to_remote(self, connection, action, size=0):
         remote = self.remotes.get(id(connection))
         if remote is None:
             return
-        if not self.world.is_partitioned(self.host, remote.host):
+        is_partitioned = self.world.is_partitioned(self.host, remote.host)
+        is_held = is_partitioned and self.world.holds_bytes
+        if is_held or self.world.queues.get(id(connection)):
+            Held(self.host, connection, remote, action, size)
+        elif not self.world.is_partitioned(self.host, remote.host):
             at = self.world.now + LATENCY_S
             self.world.schedule(at, remote.host, lambda: action(remote))
         elif self.world.user_timeout_s is not None:
--- a/tests/transport/test_silence_timer.py
+++ b/tests/transport/test_silence_timer.py
@@ -32,6 +32,6 @@
     exchange.connection.active_at = ACTIVE_AT
     exchange.opened_at = NOW
 
-    exchange._check_silence()
+    exchange.timer.check()
 
     assert timers.now() + timers.delays_s[0] > timers.now()
