HTTP client: what is given up is not sent later

What could be seen: a write to the store, a move of a KV cache or a request to a worker that is given up during a partition takes effect after it has healed: the kernel sends its bytes for up to 3.5 s after the close.

The conditions of the store's writes limit the harm there, a worker runs what nobody waits for, and a move stops a run that goes on where it was.

Change: a call that is given up or cancelled resets its connection if the server has not acknowledged all of it. If it has, the close stays ordinary: nothing can arrive later, and the kernel repeats it if it is lost, so that a worker learns of a cancelled request.

--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -194,12 +194,22 @@
     def give_up(self, reason: str) -> None:
         """Fail the call, which has exceeded a limit in time."""
         self.loss_code = 'timeout'
-        self.client.sockets.close(self.connection, reason)
+        self._abandon(reason)
 
     def cancel(self) -> None:
         """Abandon the call and close its connection."""
         self._take_sink()
-        self.client.sockets.close(self.connection, 'cancelled')
+        self._abandon('cancelled')
+
+    def _abandon(self, reason: str) -> None:
+        """Close the connection; what the server lacks of the call is dropped.
+
+        Otherwise the close is ordinary, which the kernel repeats if it is lost.
+        """
+        connection = self.connection
+        if not connection.is_closed and connection.count_undelivered():
+            connection.set_reset_at_close(is_reset=True)
+        self.client.sockets.close(connection, reason)
 
     def _finish_at_close(self, reason: str) -> None:
         if reason == sockets.CLOSED_BY_PEER and self.reader.finish():
--- a/tests/transport/test_call_limits.py
+++ b/tests/transport/test_call_limits.py
@@ -45,6 +45,17 @@
         assert self.done.wait(live.TIMEOUT_S)
         return self.result
 
+    def cancel(self):
+        """Cancel the call and return once that is done."""
+        cancelled = threading.Event()
+
+        def cancel():
+            self.exchange.cancel()
+            cancelled.set()
+
+        self.loop.timers.call_later(0, cancel)
+        assert cancelled.wait(live.TIMEOUT_S)
+
     def _send(self):
         sink = http_client.ReplyCollector(self._put, self._put)
         self.exchange = self.loop.client.send(self.call, sink)
@@ -113,3 +124,45 @@
             assert caller.wait().body == b'body'
             assert sock.recv(1) == b''
     assert not any(loop.client.idle.values())
+
+
+UPLOAD_BYTES = 2 << 20  # more than the server's kernel takes
+
+
+def read_to_end(sock):
+    while sock.recv(1 << 20):
+        pass
+
+
+def begin_upload(loop, listener, **options):
+    """Return a caller whose upload fits into the kernels only."""
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    return Caller(loop, listener, body=bytes(UPLOAD_BYTES), **options)
+
+
+# Guards against bytes of a call that are sent after it was given up.
+def test_a_call_that_is_given_up_is_sent_no_further(loop, listener):
+    caller = begin_upload(loop, listener, silence_s=0.2)
+    with accept(listener) as sock:
+        failure = caller.wait()
+        with pytest.raises(ConnectionResetError):
+            read_to_end(sock)
+
+    assert failure.code == 'timeout'
+
+
+def test_a_call_that_is_cancelled_is_sent_no_further(loop, listener):
+    caller = begin_upload(loop, listener)
+    with accept(listener) as sock:
+        sock.recv(1)
+        caller.cancel()
+        with pytest.raises(ConnectionResetError):
+            read_to_end(sock)
+
+
+def test_a_call_that_was_received_ends_without_a_reset(loop, listener):
+    caller = Caller(loop, listener, silence_s=0.5)
+    with accept(listener) as sock:
+        sock.recv(65536)
+        caller.wait()
+        assert sock.recv(1) == b''
