An outage at one entry gives removed workers no longer grace period

What could be seen (DRAIN): a worker whose registration is removed within a second after an entry alone reaches the store again gets requests from it for up to 2.95 s more, where 2 s are allowed.

Cause: registrations lapse while the whole store is away, and a missing worker is waited for after its return. An entry took each outage that it saw for one of the whole store.

--- a/citronjunction/duties/lease_client.py
+++ b/citronjunction/duties/lease_client.py
@@ -97,9 +97,11 @@
                 self.has_pending_call = True
                 self.store.read(KIND, NAME, self._on_read)
 
-    def observe_version(self, version: str) -> None:
-        """Record the version of the lease that its holder reports."""
+    def observe_version(self, version: str) -> bool:
+        """Record the version that the holder reports; return if it is new."""
+        is_new = version != self.lease.observed_version
         self.lease.observe_version(version, self.timers.boot_time())
+        return is_new
 
     def get_version(self) -> str:
         """Return the version of the lease, or an empty text if not held."""
--- a/citronjunction/gateway/node.py
+++ b/citronjunction/gateway/node.py
@@ -188,7 +188,7 @@
                 self._apply_entry(fact)
             case facts.LoadState(name=name, lease_version=version):
                 if version and name != self.name:
-                    self.lease_client.observe_version(version)
+                    self._observe_lease(version)
                 self.peer_exchange.on_fact(fact)
             case facts.LeavingWorker():
                 self.events.apply_leaving_worker(fact)
@@ -201,6 +201,11 @@
         """Process a peer's message about stored objects."""
         self.peer_exchange.on_message(link, message)
 
+    def _observe_lease(self, version: str) -> None:
+        """Record a version of the lease, which a peer has just written."""
+        if self.lease_client.observe_version(version):
+            self.watcher.outage.record_answer(self.loop.timers.now())
+
     def _apply_entry(self, fact: facts.EntryState) -> None:
         if fact.name == self.name:
             return
--- a/citronjunction/gateway/watching.py
+++ b/citronjunction/gateway/watching.py
@@ -12,7 +12,14 @@
     models,
     rejections,
 )
-from citronjunction.store import doubts, eras, mirror, probing, records
+from citronjunction.store import (
+    doubts,
+    eras,
+    mirror,
+    outages,
+    probing,
+    records,
+)
 
 RARE_WAIT_FACTOR = 2  # the watch of a kind with rare changes waits longer
 REVIVE_INTERVAL_S = 0.5  # between checks that the mirrors go on
@@ -78,6 +85,8 @@
         )
         # Called with a kind after each change of its mirror.
         self.on_copy_advanced: abc.Callable[[str], None] = _do_nothing
+        self.outage = outages.Outage()
+        # When an outage of the whole store ended.
         self.recovered_at: float | None = None
         self.restored_at: float | None = None
 
@@ -202,10 +211,12 @@
 
     def on_reachable(self, kind: str, *, is_reachable: bool) -> None:
         """Log the loss or recovery of the store; record the recovery time."""
-        if is_reachable:
-            self.recovered_at = self.services.timers.now()
-        else:
+        now = self.services.timers.now()
+        if not is_reachable:
+            self.outage.begin(kind, now)
             self.doubts.on_unreachable(kind)
+        elif self.outage.end(kind, now):
+            self.recovered_at = now
         self.services.log.write('store', kind, is_reachable=is_reachable)
 
     def _has_workers(self) -> bool:
