HTTP client: idle connections are kept as long as their server states

The pool that moved into a module of its own no longer read the time out of the answer's Keep-Alive, so that a call could be sent on a connection that its server was about to close. Comments say what they did not.

--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -135,6 +135,7 @@
                 'bad_answer',
             )
         elif self._is_settled() and not self.is_over:
+            # The end of an answer without a length comes late.
             self.cancel()
             self._report_status()
 
@@ -284,7 +285,7 @@
         return answer
 
     def _is_settled(self) -> bool:
-        """Return whether the head is enough, and the end would come late."""
+        """Return whether a failure without a length counts by its head."""
         answer = self.answer
         is_awaited = answer.is_framed or answer.is_success
         return not is_awaited and not self._needs_body()
--- a/citronjunction/platform/cloud.py
+++ b/citronjunction/platform/cloud.py
@@ -8,8 +8,8 @@
 from citronjunction.transport import http_client
 
 CONNECT_TIMEOUT_S = 0.5
-# The lease is checked again as a connection opens. Shorter than its margin, so
-# that no call is sent, or sent again, once another holder can have it.
+# Below the margin of the lease, which is checked again as a connection opens:
+# no call is still being sent when another holder can have the lease.
 REPLY_TIMEOUT_S = 0.5
 MAX_REPLY_BYTES = 65536  # only the status is used
 CONFLICT = 409
--- a/citronjunction/transport/connection_pool.py
+++ b/citronjunction/transport/connection_pool.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from citronjunction.transport import sockets, timer_queue
+from citronjunction.transport import keep_alive, sockets, timer_queue
 
 if TYPE_CHECKING:
     from citronjunction.transport import http_client
@@ -47,6 +47,7 @@
 
     def keep(self, exchange: 'http_client.Exchange') -> None:
         """Take the connection of a completed call."""
+        exchange.idle_s = keep_alive.get_idle_s(exchange.reader.headers)
         idle = self.idle.setdefault(exchange.call.pool_key, [])
         if len(idle) < MAX_IDLE_PER_ADDRESS:
             idle.append(exchange)
--- a/citronjunction/transport/http_client.py
+++ b/citronjunction/transport/http_client.py
@@ -40,9 +40,9 @@
     path, and resets it if it is given up.
 
     A response without a length to a request with a body is complete once no
-    reset has followed its end for a while, ``end_s`` after the start of the
-    call if possible; without ``checks_end`` it is at its end, as suits content
-    that can't be cut unnoticed.
+    reset has followed its end for a while, if possible within ``end_s`` of the
+    start of the call. Without ``checks_end`` it is complete at its end, which is
+    enough for content that can't be cut unnoticed.
     """
 
     address: str
