--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -110,6 +110,9 @@
         int,
         typer.Option(help='gateways that serve at least; others stand by'),
     ] = 8,
+    held: Annotated[
+        bool, typer.Option(help='cuts deliver later what they held up')
+    ] = False,
 ) -> None:
     """Run consecutive seeds in virtual time; a seed always plays the same."""
     fix_hash_seed()
@@ -127,6 +130,7 @@
             only=chosen,
             old=commit,
             serving=serving,
+            holds_bytes=held,
         )
         for number in range(seed, seed + runs)
     ]
--- a/soak/virtual/history.py
+++ b/soak/virtual/history.py
@@ -73,6 +73,15 @@
     at: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Call:
+    """A call of a duty to the cloud, as the cloud got it."""
+
+    subject: tuple[str, ...]
+    holder: str
+    token: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Notice:
     """What a worker named in an answer to an entry."""
@@ -109,6 +118,7 @@
     the limit that may be used beyond it. No process that was informed before
     ``all_ended_at`` still runs. ``drains`` are the workers that said in the store
     that they drain, ``routes`` the prefixes that were added, each with the time.
+    ``calls`` are in the order in which the cloud got them.
     """
 
     requests: list[Request] = dataclasses.field(default_factory=list)
@@ -127,6 +137,7 @@
     all_ended_at: list[float] = dataclasses.field(default_factory=list)
     drains: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     routes: dict[str, float] = dataclasses.field(default_factory=dict)
+    calls: list[Call] = dataclasses.field(default_factory=list)
 
     def is_in_touch(self, entry: str, at: float, until: float = 0) -> bool:
         """Return whether an entry was undisturbed up to a time or a span."""
--- a/soak/virtual/injecting.py
+++ b/soak/virtual/injecting.py
@@ -78,7 +78,15 @@
         begin(fault)
 
     def finish(self) -> None:
-        """Add the runs and falls of all workers to the record."""
+        """Add the runs and falls of workers and the calls to the cloud."""
+        cloud = self.deployed.cloud
+        self.record.calls.extend(
+            history.Call(('usage',), *sender) for sender, _ in cloud.usage
+        )
+        self.record.calls.extend(
+            history.Call(('order', order['service'], order['zone']), *sender)
+            for sender, order in cloud.orders
+        )
         for worker in self.deployed.workers.values():
             self.record.falls.extend((worker.name, at) for at in worker.fell_at)
             self.record.runs.extend(
--- a/soak/virtual/playing.py
+++ b/soak/virtual/playing.py
@@ -24,6 +24,7 @@
 STRAY_SHARE = 0.1  # of the requests go to any entry
 MIN_PAGE = 2  # objects of a page of a list
 PAGE_SIZES = 4
+SCALED = platform_system.make_scaled_upstream({'z1': 1.0, 'z2': 0.8})
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -34,7 +35,9 @@
     ``only``, faults with other positions in the draw are left out.
 
     If ``old`` names a commit, the entries start with its build and are replaced
-    one after the other meanwhile. Beyond ``serving`` entries stand by.
+    one after the other meanwhile. Beyond ``serving`` entries stand by. With
+    ``holds_bytes``, a cut delivers what it has held up once it ends, unless the
+    sender has reset the connection, and the holder orders workers.
     """
 
     seed: int
@@ -45,6 +48,7 @@
     only: tuple[int, ...] = ()
     old: str = ''
     serving: int = 8
+    holds_bytes: bool = False
 
     @property
     def has_store_changes(self) -> bool:
@@ -101,6 +105,9 @@
         names = [f'gateway-{number}' for number in range(plan.entries)]
         deployed = mixed_system.MixedSystem(plan.old, names, plan.seed)
     deployed.world.user_timeout_s = sockets.USER_TIMEOUT_MS / MS_PER_S
+    if plan.holds_bytes:
+        deployed.world.holds_bytes = True
+        deployed.configuration['services'][1] = SCALED
     if plan.has_quotas:
         deployed.configuration['tenants'] = tenancy.make_tenants({})
     if plan.has_store_changes:
--- a/soak/virtual/rules.py
+++ b/soak/virtual/rules.py
@@ -255,6 +255,17 @@
     return is_ordered and bool(numbers) and EVENT.sub(b'', request.body) == b''
 
 
+def check_one(record: history.History) -> abc.Iterator[str]:
+    """Yield calls to the cloud that came after those of a later holder."""
+    last: dict[tuple[str, ...], history.Call] = {}
+    for call in record.calls:
+        before = last.setdefault(call.subject, call)
+        if call.token < before.token:
+            yield f'{call} after {before}'
+        else:
+            last[call.subject] = call
+
+
 RULES: tuple[Rule, ...] = (
     check_limit,
     check_falls,
@@ -267,5 +278,6 @@
     check_config,
     check_retries,
     check_final_answer,
+    check_one,
     quota_rule.check_quota,
 )
--- a/tests/soak/virtual/test_playing.py
+++ b/tests/soak/virtual/test_playing.py
@@ -7,6 +7,7 @@
 import pytest
 
 from citronjunction.gateway import forwarding, limits, quotas
+from citronjunction.transport import http_client, sockets
 from soak.virtual import drawing, playing, quota_rule, rules, served
 
 
@@ -61,14 +62,41 @@
         assert len(report.record.requests) > 1000
 
 
-def find_violation(rule, seeds):
+def test_short_runs_in_which_cuts_hold_bytes_up_violate_no_invariant():
+    for seed in (1, 2, 28):
+        report = playing.play(playing.Plan(seed, seconds=20, holds_bytes=True))
+        assert not report.violations, report.summarise()
+        assert report.record.calls
+
+
+def find_violation(rule, seeds, draw=2, **options):
     """Return whether a run of the seeds violates a rule."""
     return any(
-        list(rule(playing.play(playing.Plan(seed, draw=2)).record))
+        list(
+            rule(playing.play(playing.Plan(seed, draw=draw, **options)).record)
+        )
         for seed in seeds
     )
 
 
+def test_calls_that_are_sent_on_after_they_were_given_up_are_found(monkeypatch):
+    build_call = http_client.Call
+
+    def build_plain(*args, has_expired=None, **options):
+        if has_expired is not None:
+            options.pop('max_idle_s')
+        return build_call(*args, **options)
+
+    monkeypatch.setattr(http_client, 'Call', build_plain)
+    monkeypatch.setattr(
+        sockets.Connection, 'set_reset_at_close', lambda *_, is_reset: None
+    )
+
+    assert find_violation(
+        rules.check_one, (28,), drawing.CURRENT, holds_bytes=True
+    )
+
+
 def test_entries_that_ignore_limits_are_found(monkeypatch):
     monkeypatch.setattr(
         limits.RateLimits, 'get_wait_s', lambda table, start_key, now: 0
--- a/tests/soak/virtual/test_rules.py
+++ b/tests/soak/virtual/test_rules.py
@@ -268,3 +268,20 @@
     )
 
     assert len(found) == violations
+
+
+def make_call(token, holder='e0', subject=('usage',)):
+    return history.Call(subject, holder, token)
+
+
+def test_calls_of_holders_in_turn_are_in_order():
+    calls = [make_call(1), make_call(1), make_call(2, 'e1'), make_call(3)]
+    calls.append(make_call(1, subject=('order', 'llm', 'z1')))
+
+    assert not check(rules.check_one, calls=calls)
+
+
+def test_a_call_of_a_former_holder_is_a_violation():
+    calls = [make_call(1), make_call(2, 'e1'), make_call(1)]
+
+    assert check(rules.check_one, calls=calls)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -34,7 +34,6 @@
         # Whether what a partition holds up is delivered once it has healed,
         # unless its sender has reset the connection.
         self.holds_bytes = False
-        self.held = []
         self.queues = collections.defaultdict(list)  # by connection
         # By address: the bytes that a host takes of each write.
         self.windows = {}
@@ -86,9 +85,6 @@
     def heal(self):
         self.partitions.clear()
         self.refusals.clear()
-        held, self.held = self.held, []
-        for message in held:
-            message.schedule()
 
     def _perform(self, event):
         host = event.host
@@ -121,7 +117,10 @@
 
 
 class Held:
-    """What a partition holds up of a connection."""
+    """What a partition holds up of a connection, and what follows it there.
+
+    It arrives when TCP sends it again, in order with the rest.
+    """
 
     def __init__(self, sender, connection, remote, action, size):
         self.world = sender.world
@@ -130,54 +129,38 @@
         self.remote = remote
         self.action = action
         self.size = size
-        self.sent_at = sender.world.now
+        self.has_arrived = False
         connection.unsent.extend(bytes(size))
         self.queue = self.world.queues[id(connection)]
         self.queue.append(self)
-        self._deliver_later()
+        for repeat_s in (LATENCY_S, *REPEATS_S):
+            self.world.schedule(
+                self.world.now + repeat_s, remote.host, self._arrive
+            )
         sender.timers.call_later(USER_TIMEOUT_S, self._expire)
 
-    def _deliver_later(self):
+    def _arrive(self):
         if self.world.is_partitioned(self.sender, self.remote.host):
-            self.world.held.append(self)
-        else:
-            self.schedule()
-
-    def schedule(self):
-        """Deliver it as TCP does: when it is sent again."""
-        times = (self.sent_at + repeat_s for repeat_s in REPEATS_S)
-        at = next((at for at in times if at >= self.world.now), None)
-        if at is not None:
-            self.world.schedule(at, self.remote.host, self._deliver)
-
-    def _deliver(self):
-        if self not in self.queue:
             return
-        if self.world.is_partitioned(self.sender, self.remote.host):
-            self.world.held.append(self)
-        elif self.queue[0] is not self:
-            self.world.schedule(
-                self.world.now + LATENCY_S, self.remote.host, self._deliver
-            )
-        else:
-            self._forget()
-            if not self._is_reset():
-                self.action(self.remote)
+        self.has_arrived = True
+        while self.queue and self.queue[0].has_arrived:
+            self.queue[0].deliver()
 
-    def _is_reset(self):
+    def deliver(self):
+        """Deliver it, unless its sender has reset the connection."""
+        self._forget()
         has_ended = self.connection.is_closed or not self.sender.is_alive
-        return has_ended and self.connection.is_reset_at_close
+        if not (has_ended and self.connection.is_reset_at_close):
+            self.action(self.remote)
 
     def _expire(self):
-        if self._forget():
+        if self in self.queue:
+            self._forget()
             self.sender.sockets.close(self.connection, 'Connection timed out')
 
     def _forget(self):
-        if self not in self.queue:
-            return False
         self.queue.remove(self)
         del self.connection.unsent[: self.size]
-        return True
 
 
 class Timers:
