Relocation: log how the call that moves a stream ended

The log named a move only once the stream had been resumed or cut, so nothing told how the call ended when nothing was copied, nor which of the call and the stream ended first.

A line 'move result' is written for each call, with its result, the reason, and whether the worker had ended its stream by then.

--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -143,6 +143,7 @@
 
     def _on_stopped(self, result: MoveResult) -> None:
         self.result = result
+        self._log_result(result)
         if isinstance(result, NotMoved) and not self.is_broken:
             # The run has ended or continues at the source.
             self.phase = Phase.over
@@ -178,6 +179,21 @@
                     ),
                 )
 
+    def _log_result(self, result: MoveResult) -> None:
+        reason = result.reason if isinstance(result, NotMoved) else ''
+        running = self.flow.attempt
+        self.flow.services.log.write(
+            'move result',
+            self.flow.request.name,
+            source=self.source.registration.name,
+            target=self.target.registration.name,
+            result=type(result).__name__,
+            reason=reason,
+            has_stream_ended=running is None or not running.is_running,
+            is_over=self.flow.is_over,
+            last_event=self.flow.last_event,
+        )
+
 
 class Relocations:
     """Relocate the streams of workers that are being reclaimed."""
