Relocation: a stream that a failed call may have stopped is not complete

Callers got half of a stream as a whole one: status 200 and a complete body with 17 of 36 events.

Cause: the call that moves a run stops it first and copies it later. A call that failed before the end of the stream counted was taken for one that had stopped nothing, and the end of the stream, which only its connection marked, for the run's own.

A result says now what it shows about the run: stopped (a handle), unaffected (404, or the call was not sent), unknown (any other answer, or none as the connection was lost), or unanswered. An unframed end fails after the last two, unless an event over 1.5 s after an unknown result has shown that the run goes on, which whole streams need. An end that comes first waits for the result. A stream whose bytes have ended is no longer stopped, and an attempt only once, as the result of a second call does not tell what the first one did.

--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -75,6 +75,17 @@
     send(flow, choosing.Candidate(worker, 0, 0, 0), now, kv_source)
 
 
+def try_needed_peer(flow: 'flows.Flow', now: float) -> bool:
+    """Forward a request if its workers can't be reached from here.
+
+    Return whether a peer gets it.
+    """
+    is_needed = flow.forwarded is None and flow.services.forwarder.is_needed(
+        flow.upstream, flow.history.connect_failures
+    )
+    return is_needed and try_peer(flow, now)
+
+
 def try_peer(flow: 'flows.Flow', now: float) -> bool:
     """Forward a request; return whether there is a peer that gets it."""
     peer = flow.services.forwarder.choose(flow.upstream, flow.tried, now)
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -146,6 +146,8 @@
         """Relay a part of the answer to the caller."""
         if source.reader.last_id:
             self.last_event = source.reader.last_id
+        if self.relocation is not None:
+            self.relocation.on_event()
         self.response.push(part)
 
     def on_paced(self, source: attempt.Attempt, pace_s: float) -> None:
@@ -159,11 +161,8 @@
     def on_complete(self, source: attempt.Attempt) -> None:
         """Finish an answer that was relayed in parts."""
         self._close_attempt(source, is_good=True)
-        if (
-            self.relocation is None
-            or source.answer.is_framed
-            or not self.relocation.on_unframed_end(source)
-        ):
+        end = relocation.Closed(source)
+        if source.answer.is_framed or not relocation.takes_over(self, end):
             self.finish_stream(source)
 
     def on_buffered_answer(
@@ -191,8 +190,15 @@
     ) -> None:
         """Retry after a failure, leave it to a relocation, or give up."""
         self._close_attempt(source, is_good=None)
-        if self.relocation is not None and self.relocation.on_stream_broken():
-            return
+        if not relocation.takes_over(self, relocation.Broken(source, failed)):
+            self.fail_attempt(source, failed)
+
+    def fail_attempt(
+        self,
+        source: attempt.Attempt,
+        failed: evidence.AttemptFailure,
+    ) -> None:
+        """Record a failed attempt, and retry or give up."""
         outcomes.record_failure(
             self.services, self.route, source, failed, self.traits
         )
@@ -267,7 +273,7 @@
     def _try_worker(self) -> None:
         services = self.services
         now = services.timers.now()
-        if self._try_peer(now):
+        if dispatching.try_needed_peer(self, now):
             return
         candidate = services.chooser.choose(
             self.upstream,
@@ -292,16 +298,6 @@
         self.expected_s = candidate.wait_s
         dispatching.send(self, candidate, now)
 
-    def _try_peer(self, now: float) -> bool:
-        """Forward the request if needed; return whether a peer gets it."""
-        forwarder = self.services.forwarder
-        connect_failures = self.history.connect_failures
-        if self.forwarded is not None or not forwarder.is_needed(
-            self.upstream, connect_failures
-        ):
-            return False
-        return dispatching.try_peer(self, now)
-
     def _try_again(self, failed: evidence.AttemptFailure) -> bool:
         now = self.services.timers.now()
         if self.deadline_at - now < assigning.MIN_TIME_LEFT_S:
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -21,6 +21,8 @@
 # report of its time left is some hundred ms old.
 STOP_LEAD_S = 0.9
 ASK_INTERVAL_S = 0.25  # a worker's report is some hundred ms old
+# An event may arrive that late after it was sent, if its packet is lost twice.
+MAX_EVENT_DELAY_S = 1.5
 MAX_ASKS = 3  # a worker that drains without an end time reports none
 
 
@@ -38,20 +40,43 @@
     handle: str
 
 
+class RunState(enum.Enum):
+    """What a call that has copied nothing has done to the run."""
+
+    unaffected = 'unaffected'  # it had ended before, or the call was not sent
+    unknown = 'unknown'  # only further events show that it was not stopped
+    unanswered = 'unanswered'  # the source may still stop it, at any time
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NotMoved:
-    """Result: nothing was copied.
-
-    ``has_ended`` means that the source states that no such run exists.
-    """
+    """Result: nothing was copied."""
 
     reason: str
-    has_ended: bool = False
+    run: RunState = RunState.unknown
 
 
 MoveResult = Union[Moved, Kept, NotMoved]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Closed:
+    """End of a stream that only the end of its connection marks."""
+
+    source: 'attempt.Attempt'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Broken:
+    """End of a stream that has failed."""
+
+    source: 'attempt.Attempt'
+    failed: evidence.AttemptFailure
+
+
+StreamEnd = Union[Closed, Broken]
+
+
 class Mover(Protocol):
     """Move the KV caches of runs between workers, given by address."""
 
@@ -83,20 +108,21 @@
 class Relocation:
     """Move one stream from a worker to another.
 
-    The stream is resumed once the run's KV cache was copied and the connection
-    to the source has broken. ``unframed_end`` is the attempt whose answer ended
-    with its connection meanwhile.
+    The stream is resumed once the run's KV cache was copied and the stream of
+    the source has ended. An end that the call may have caused waits for the
+    result of the call, which tells whether the stream is complete.
     """
 
     __slots__ = (
+        'answered_at',
+        'end',
         'flow',
-        'is_broken',
         'mover',
         'phase',
         'result',
         'source',
+        'stopped',
         'target',
-        'unframed_end',
     )
 
     def __init__(
@@ -111,13 +137,15 @@
         self.target = target
         self.mover = mover
         self.phase = Phase.running
+        self.stopped: 'attempt.Attempt | None' = None
         self.result: MoveResult | None = None
-        self.is_broken = False
-        self.unframed_end: 'attempt.Attempt | None' = None
+        self.answered_at: float | None = None
+        self.end: StreamEnd | None = None
 
     def stop(self) -> None:
         """Stop the run at the source and copy its KV cache."""
         self.phase = Phase.stopping
+        self.stopped = self.flow.attempt
         self.mover.move(
             self.source.registration.address,
             self.flow.request.name,
@@ -125,33 +153,35 @@
             self._on_stopped,
         )
 
-    def on_stream_broken(self) -> bool:
-        """Handle a broken stream; return whether this move stopped it."""
+    def on_event(self) -> None:
+        """Handle an event, which may show that the run was not stopped."""
+        match self.result:
+            case NotMoved(run=RunState.unknown):
+                now = self.flow.services.timers.now()
+                if now - self.answered_at > MAX_EVENT_DELAY_S:
+                    self.phase = Phase.over
+
+    def on_stream_end(self, end: StreamEnd) -> bool:
+        """Handle the end of a stream; return whether the move may cause it."""
         if self.phase is not Phase.stopping:
             return False
-        self.is_broken = True
-        self._resume()
+        self.end = end
+        self._conclude()
         return True
 
-    def on_unframed_end(self, source: 'attempt.Attempt') -> bool:
-        """Handle the end of a stream that only its connection ended.
-
-        Return whether this move may have stopped it.
-        """
-        self.unframed_end = source
-        return self.on_stream_broken()
-
     def _on_stopped(self, result: MoveResult) -> None:
         self.result = result
+        self.answered_at = self.flow.services.timers.now()
         self._log_result(result)
-        if isinstance(result, NotMoved) and not self.is_broken:
-            # The run has ended or continues at the source.
-            self.phase = Phase.over
-            return
-        self._resume()
-
-    def _resume(self) -> None:
-        if self.result is None or not self.is_broken:
+        match result:
+            case NotMoved(run=RunState.unaffected) if self.end is None:
+                self.phase = Phase.over
+            case _:
+                self._conclude()
+
+    def _conclude(self) -> None:
+        """Continue, finish or fail a stream of which all is known."""
+        if self.result is None or self.end is None or self.flow.is_over:
             return
         self.phase = Phase.over
         source = self.source.registration.address
@@ -168,8 +198,8 @@
                 self.flow.resume_at(self.target, f'{source}/{handle}')
             case Kept(handle=handle):
                 self.flow.resume_at(self.source, f'{source}/{handle}')
-            case NotMoved(has_ended=True) if self.unframed_end is not None:
-                self.flow.finish_stream(self.unframed_end)
+            case NotMoved(run=RunState.unaffected):
+                self._end_by_itself()
             case NotMoved(reason=reason):
                 self.flow.fail_stream(
                     evidence.AttemptFailure(
@@ -179,8 +209,19 @@
                     ),
                 )
 
+    def _end_by_itself(self) -> None:
+        match self.end:
+            case Closed(source=source):
+                self.flow.finish_stream(source)
+            case Broken(source=source, failed=failed):
+                self.flow.fail_attempt(source, failed)
+
     def _log_result(self, result: MoveResult) -> None:
-        reason = result.reason if isinstance(result, NotMoved) else ''
+        match result:
+            case NotMoved(reason=reason, run=run):
+                state = run.value
+            case _:
+                reason, state = '', 'stopped'
         running = self.flow.attempt
         self.flow.services.log.write(
             'move result',
@@ -188,6 +229,7 @@
             source=self.source.registration.name,
             target=self.target.registration.name,
             result=type(result).__name__,
+            run=state,
             reason=reason,
             has_stream_ended=running is None or not running.is_running,
             is_over=self.flow.is_over,
@@ -303,7 +345,22 @@
 
 
 def _is_movable(flow: 'flow.Flow', worker: fleet.Worker) -> bool:
-    if flow.attempt is None or flow.attempt.worker is not worker:
+    """Return whether a move would stop a stream that runs at a worker.
+
+    The result of a second call would not tell what the first one did.
+    """
+    running = flow.attempt
+    if running is None or running.worker is not worker:
+        return False
+    if flow.relocation is not None and flow.relocation.stopped is running:
         return False
     is_stream = flow.route.kind is models.RouteKind.stream
-    return is_stream and flow.response.is_started and not flow.route.can_resume
+    is_relayed = flow.response.is_started and running.is_running
+    return is_stream and is_relayed and not flow.route.can_resume
+
+
+def takes_over(flow: 'flow.Flow', end: StreamEnd) -> bool:
+    """Return whether a relocation decides what follows the end of a stream."""
+    if flow.relocation is None:
+        return False
+    return flow.relocation.on_stream_end(end)
--- a/citronjunction/platform/kv_cache_moves.py
+++ b/citronjunction/platform/kv_cache_moves.py
@@ -9,6 +9,7 @@
 from citronjunction.gateway import relocation
 from citronjunction.platform import names
 from citronjunction.transport import http_client
+from citronjunction.verdicts import models as verdicts
 
 MS_PER_S = 1000
 REPORT_TIMEOUT_S = 0.5  # a report is already some hundred ms old
@@ -51,7 +52,7 @@
         )
         sink = http_client.ReplyCollector(
             lambda reply: on_result(_decode_result(reply)),
-            lambda failure: on_result(relocation.NotMoved(failure.reason)),
+            lambda failure: on_result(_describe_failure(failure)),
             MAX_RESULT_BYTES,
         )
         self.client.send(call, sink)
@@ -88,7 +89,10 @@
 
 
 def _decode_result(reply: http_client.Reply) -> relocation.MoveResult:
+    """Return what an answer says; a 404 says that there is no such run."""
     reason = f'the worker answered {reply.status}'
+    if reply.status == NOT_FOUND:
+        return relocation.NotMoved(reason, relocation.RunState.unaffected)
     try:
         handle = str(json.loads(reply.body or b'{}').get('handle') or '')
     except errors.DECODE_ERRORS as error:
@@ -97,4 +101,16 @@
         return relocation.Moved(handle)
     if reply.status == UNAVAILABLE and handle:
         return relocation.Kept(handle)
-    return relocation.NotMoved(reason, has_ended=reply.status == NOT_FOUND)
+    return relocation.NotMoved(reason)
+
+
+def _describe_failure(failure: verdicts.Failure) -> relocation.NotMoved:
+    """Return what a call without an answer may have done to the run."""
+    match failure:
+        case verdicts.NotRun():
+            run = relocation.RunState.unaffected
+        case verdicts.MayHaveRun(code='timeout'):
+            run = relocation.RunState.unanswered
+        case verdicts.MayHaveRun():
+            run = relocation.RunState.unknown
+    return relocation.NotMoved(failure.reason, run)
--- a/tests/gateway/test_relocation.py
+++ b/tests/gateway/test_relocation.py
@@ -2,32 +2,15 @@
 
 import pytest
 
-from tests.support import platform_system, scripted
+from tests.support import moving
 
-MOVING = {
-    'name': 'llm',
-    'healthPath': '/healthz',
-    'maxConns': 100,
-    'engine': {'slots': 64, 'kvCapacity': 700000, 'moves': True},
-}
-EVENTS = 50
+EVENTS = moving.EVENTS
+numbers = moving.read_numbers
 
 
 @pytest.fixture
 def deployed():
-    system = platform_system.PlatformSystem()
-    system.configuration['services'][1] = MOVING
-    system.configuration['routes'] = [
-        platform_system.make_route(
-            'stream', '/stream/', 'stream', 'llm', timeoutMs=15000, attempts=1
-        ),
-        platform_system.make_route('safe', '/safe/', 'safe', 'app'),
-    ]
-    system.build(workers=2)
-    for worker in system.workers.values():
-        worker.behaviour.event_count = EVENTS
-        worker.behaviour.event_interval_s = 0.1
-    return system
+    return moving.build()
 
 
 def start_stream(deployed):
@@ -49,11 +32,6 @@
     deployed.worker_hosts[name].kill()
 
 
-def numbers(answer):
-    lines = answer.body.decode().split('\n')
-    return [int(line[4:]) for line in lines if line.startswith('id: ')]
-
-
 def test_a_stream_resumes_from_its_kv_cache_at_another_worker(deployed):
     answer, source, target = start_stream(deployed)
     reclaim(deployed, source, 2.4)
@@ -127,73 +105,15 @@
     assert not deployed.workers[source].moves
 
 
-class UnframedSource:
-    """Send a stream without length or chunks; a move closes it after an event.
-
-    Without ``has_run`` the run ends by itself just before the move.
-    """
-
-    def __init__(self, deployed, name, *, has_run):
-        self.deployed = deployed
-        self.has_run = has_run
-        self.stream = None
-        self.number = 0
-        self.timers = deployed.worker_hosts[name].timers
-        self.leaves_at = None
-        scripted.replace_worker(deployed, name, self.answer)
-
-    def answer(self, connection, request):
-        if b'/api/report' in request:
-            left_ms = (self.leaves_at - self.deployed.world.now) * 1000
-            connection.send(respond(200, b'{"leaves_ms": %d}' % left_ms))
-        elif b'/api/kv-move' in request:
-            self.stream.close_later(0)
-            status, body = (200, b'{"handle": "h"}')
-            if not self.has_run:
-                status, body = (404, b'{}')
-            connection.send_later(0.05, respond(status, body))
-        else:
-            self.stream = connection
-            connection.send(UNFRAMED_HEAD % get_name(request))
-            self.push()
-
-    def push(self):
-        if not self.stream.connection.is_closed:
-            self.number += 1
-            self.stream.send(
-                b'id: %d\ndata: t%d\n\n' % (self.number, self.number)
-            )
-            self.timers.call_later(0.1, self.push)
-
-
-UNFRAMED_HEAD = (
-    b'HTTP/1.1 200 OK\r\nSignature: s\r\nAttempt-Id: %b\r\n'
-    b'Content-Type: text/event-stream\r\n\r\n'
-)
-
-
-def get_name(request):
-    return scripted.get_header(request, 'Attempt-Id')
-
-
-def respond(status, body):
-    return b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b' % (
-        status,
-        len(body),
-        body,
-    )
+def move_unframed_stream(deployed, *, has_run):
+    """Close a stream as it is moved; its run has ended unless ``has_run``."""
+    status, body = (200, b'{"handle": "h"}') if has_run else (404, b'{}')
 
+    def answer_move(source, connection):
+        source.stream.close_later(0)
+        connection.send_later(0.05, moving.respond(status, body))
 
-def move_unframed_stream(deployed, *, has_run):
-    source = UnframedSource(deployed, 'llm-0', has_run=has_run)
-    answer = None
-    while source.stream is None:
-        answer = deployed.send('/stream/x', method='POST', deadline_ms=15000)
-        deployed.world.run(0.3)
-    source.leaves_at = deployed.world.now + 1.2
-    deployed.set_state('llm-0', 'draining')
-    deployed.world.run(6)
-    return answer, source
+    return moving.move(deployed, answer_move)
 
 
 def test_an_unframed_stream_that_a_move_stops_is_not_complete(deployed):
--- /dev/null
+++ b/tests/gateway/test_stopped_streams.py
@@ -0,0 +1,176 @@
+"""Streams whose ends a move may have caused, by the result of its call."""
+
+import pytest
+
+from tests.support import moving
+
+UPLOAD = bytes(8000)
+# Results that don't tell whether the run was stopped.
+UNCLEAR = {
+    'conflict': moving.respond(409),
+    'error': moving.respond(500),
+    'no handle': moving.respond(503),
+    'not executed': moving.respond(429),
+    'malformed': moving.respond(200, b'{"handle": '),
+    'empty': moving.respond(200),
+    'not HTTP': b'handle\r\n\r\n',
+    'closed': None,
+    'reset': None,
+}
+NO_SUCH_RUN = [
+    moving.respond(404),
+    moving.respond(404, b'<html>no such run</html>'),
+]
+
+
+class Result:
+    """Answer the call that moves a run, before or after its stream's end.
+
+    Without ``is_stopped`` the stream goes on.
+    """
+
+    def __init__(self, name, *, is_stopped=True, is_before=False, wire=None):
+        self.name = name
+        self.wire = wire or UNCLEAR.get(name)
+        self.is_stopped = is_stopped
+        self.is_before = is_before
+
+    def __call__(self, source, connection):
+        timers = source.host.timers
+        if self.is_stopped:
+            end_s = 0.05 if self.is_before else 0
+            timers.call_later(end_s, source.end)
+        timers.call_later(
+            0 if self.is_before else 0.05,
+            lambda: self.conclude(source, connection),
+        )
+
+    def conclude(self, source, connection):
+        if self.wire is not None:
+            connection.send(self.wire)
+        elif self.name == 'reset':
+            source.reset(connection)
+        elif self.name == 'closed':
+            connection.close_later(0)
+
+
+@pytest.fixture
+def deployed():
+    return moving.build()
+
+
+@pytest.fixture(params=[False, True], ids=['after', 'before'])
+def is_before(request):
+    return request.param
+
+
+@pytest.fixture(params=[b'', UPLOAD], ids=['no upload', 'upload'])
+def body(request):
+    return request.param
+
+
+# Guards against half a stream that ends as a whole one, since the call that
+# stopped its run has failed.
+@pytest.mark.parametrize('name', [*UNCLEAR, 'unanswered'])
+def test_a_stream_that_a_move_may_have_stopped_is_not_complete(
+    deployed, name, is_before, body
+):
+    result = Result(name, is_before=is_before)
+    answer, source = moving.move(deployed, result, body=body)
+
+    assert len(source.moves) == 1
+    assert moving.read_numbers(answer) == list(range(1, source.number + 1))
+    assert answer.ended_at is not None
+    assert not answer.is_complete
+
+
+# Guards against the same where the worker goes with its copies to be made.
+def test_a_stream_of_a_worker_that_goes_within_a_move_is_not_complete(
+    deployed, body
+):
+    def end_stream(source, connection):
+        source.end()
+
+    answer, source = moving.start(deployed, end_stream, body=body)
+    source.drain(1.2)
+    deployed.world.run(1.2)
+    source.host.kill()
+    deployed.world.run(3)
+
+    assert source.moves
+    assert answer.ended_at is not None
+    assert not answer.is_complete
+
+
+# Guards against whole streams that are cut, as a move was tried.
+@pytest.mark.parametrize('name', UNCLEAR)
+def test_a_stream_that_goes_on_after_a_failed_move_is_complete(
+    deployed, name, body
+):
+    result = Result(name, is_stopped=False)
+    answer, source = moving.move(deployed, result, event_count=40, body=body)
+
+    assert len(source.moves) == 1
+    assert answer.is_complete
+    assert moving.read_numbers(answer) == list(range(1, 41))
+
+
+# Guards against a run that a worker stops after its call was given up.
+def test_a_stream_whose_move_is_never_answered_is_not_complete(deployed):
+    result = Result('unanswered', is_stopped=False)
+    answer, source = moving.move(deployed, result, event_count=50)
+
+    assert len(moving.read_numbers(answer)) == 50
+    assert not answer.is_complete
+
+
+@pytest.mark.parametrize('wire', NO_SUCH_RUN)
+def test_a_stream_whose_run_had_ended_before_a_move_is_complete(
+    deployed, wire, is_before, body
+):
+    result = Result('', is_before=is_before, wire=wire)
+    answer, source = moving.move(deployed, result, body=body)
+
+    assert source.moves
+    assert answer.is_complete
+
+
+def test_a_stream_whose_move_was_not_sent_is_complete(deployed, body):
+    answer, source = moving.start(
+        deployed, Result('error'), event_count=15, body=body
+    )
+    source.drain(2.0)
+    deployed.world.run(0.6)
+    node = deployed.gateways['gateway-0']
+    for address, _ in tuple(node.services.client.pool.idle):
+        node.services.client.pool.drop(address)
+    deployed.world.refuse(['gateway-0'], ['llm-0'])
+    deployed.world.run(4)
+
+    assert not source.moves
+    assert answer.is_complete
+    assert moving.read_numbers(answer) == list(range(1, 16))
+
+
+# Guards against a move that fails while only a reset of a whole stream is
+# awaited.
+def test_a_stream_that_has_ended_is_not_moved(deployed):
+    answer, source = moving.move(
+        deployed, Result('error'), event_count=4, body=UPLOAD
+    )
+
+    assert not source.moves
+    assert answer.is_complete
+
+
+# Guards against a second call, whose result would hide that of the first.
+def test_a_stream_is_told_to_stop_once(deployed):
+    answer, source = moving.start(deployed, Result('unanswered'))
+    source.drain(1.2)
+    deployed.world.run(0.4)
+    node = deployed.gateways['gateway-0']
+    node.relocations.schedule(node.services.fleet.workers['llm-0'])
+    deployed.world.run(4)
+
+    assert len(source.moves) == 1
+    assert not answer.is_complete
