Streams: one that a move has stopped is no evidence of a good answer

No caller saw this.

Cause: Flow.on_complete closed the attempt as good as the stream ended and asked the relocation afterwards what that end was.

The attempt is closed without a verdict while a relocation is to tell.

--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -10,6 +10,7 @@
     fleet,
     forwarding,
     models,
+    outcomes,
     recording,
 )
 from citronjunction.transport import http_client
@@ -68,6 +69,13 @@
     outstanding.expect(source, flow.urgency, expected_s, now)
 
 
+def settle_prompt(flow: 'flows.Flow', source: attempt.Attempt) -> None:
+    """Record that the prompt of an attempt is processed no longer."""
+    source.worker.prefill_tokens[flow.urgency] -= source.pending_prefill_tokens
+    source.pending_prefill_tokens = 0
+    outcomes.settle_first_event(flow.services, source)
+
+
 def resume(
     flow: 'flows.Flow', worker: fleet.Worker, now: float, kv_source: str
 ) -> None:
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -136,7 +136,7 @@
     ) -> None:
         """Start relaying a successful answer, or continue one."""
         self._count_run()
-        self._release_prompt(source)
+        dispatching.settle_prompt(self, source)
         if self.first_byte_s is None:
             self.first_byte_s = self.services.timers.now() - source.sent_at
         self.response.start(answer)
@@ -160,10 +160,11 @@
 
     def on_complete(self, source: attempt.Attempt) -> None:
         """Finish an answer that was relayed in parts."""
-        self._close_attempt(source, is_good=True)
-        end = relocation.Closed(source)
-        if source.answer.is_framed or not relocation.takes_over(self, end):
+        if source.answer.is_framed or not relocation.may_have_stopped(self):
             self.finish_stream(source)
+            return
+        self._close_attempt(source, is_good=None)
+        self.relocation.on_stream_end(relocation.Closed(source))
 
     def on_buffered_answer(
         self,
@@ -190,7 +191,9 @@
     ) -> None:
         """Retry after a failure, leave it to a relocation, or give up."""
         self._close_attempt(source, is_good=None)
-        if not relocation.takes_over(self, relocation.Broken(source, failed)):
+        if relocation.may_have_stopped(self):
+            self.relocation.on_stream_end(relocation.Broken(source, failed))
+        else:
             self.fail_attempt(source, failed)
 
     def fail_attempt(
@@ -224,6 +227,12 @@
 
     def finish_stream(self, source: attempt.Attempt) -> None:
         """Finish an answer whose end has been received."""
+        if self.attempt is source:
+            self._close_attempt(source, is_good=True)
+        else:
+            outcomes.record_answer(
+                self.services, self.route, source, self.traits, is_good=True
+            )
         self.response.finish()
         self._close('answered', source.answer.status)
 
@@ -357,21 +366,12 @@
         self.attempt = None
         if source.answer is not None and not source.answer.is_framed:
             recording.record_unframed_answer(self, source, is_good=is_good)
-        self._release_prompt(source)
+        dispatching.settle_prompt(self, source)
         source.release_worker()
         if is_good is not None:
             outcomes.record_answer(
-                self.services, self.route, source, is_good=is_good
+                self.services, self.route, source, self.traits, is_good=is_good
             )
-        if is_good:
-            outcomes.clear_suspects(self.services, self.traits, source.answer)
-
-    def _release_prompt(self, source: attempt.Attempt) -> None:
-        source.worker.prefill_tokens[self.urgency] -= (
-            source.pending_prefill_tokens
-        )
-        source.pending_prefill_tokens = 0
-        outcomes.settle_first_event(self.services, source)
 
     def _count_run(self) -> None:
         if not self.is_run_counted:
--- a/citronjunction/gateway/outcomes.py
+++ b/citronjunction/gateway/outcomes.py
@@ -74,10 +74,16 @@
     services: context.Services,
     route: models.Route,
     source: attempt.Attempt,
+    traits: suspects.Traits,
     *,
     is_good: bool,
 ) -> None:
-    """Record an answer of a worker; eject the worker if it fails too often."""
+    """Record an answer of a worker; eject the worker if it fails too often.
+
+    A good answer clears its request from the suspects.
+    """
+    if is_good:
+        _clear_suspects(services, traits, source.answer)
     worker = source.worker
     if worker.is_peer:
         return
@@ -90,7 +96,7 @@
         _log_ejection(services, worker, 'errors')
 
 
-def clear_suspects(
+def _clear_suspects(
     services: context.Services,
     traits: suspects.Traits,
     answer: models.AnswerHead,
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -161,13 +161,10 @@
                 if now - self.answered_at > MAX_EVENT_DELAY_S:
                     self.phase = Phase.over
 
-    def on_stream_end(self, end: StreamEnd) -> bool:
-        """Handle the end of a stream; return whether the move may cause it."""
-        if self.phase is not Phase.stopping:
-            return False
+    def on_stream_end(self, end: StreamEnd) -> None:
+        """Handle the end of a stream that the call may have caused."""
         self.end = end
         self._conclude()
-        return True
 
     def _on_stopped(self, result: MoveResult) -> None:
         self.result = result
@@ -359,8 +356,7 @@
     return is_stream and is_relayed and not flow.route.can_resume
 
 
-def takes_over(flow: 'flow.Flow', end: StreamEnd) -> bool:
-    """Return whether a relocation decides what follows the end of a stream."""
-    if flow.relocation is None:
-        return False
-    return flow.relocation.on_stream_end(end)
+def may_have_stopped(flow: 'flow.Flow') -> bool:
+    """Return whether a relocation tells what the end of a stream means."""
+    moved = flow.relocation
+    return moved is not None and moved.phase is Phase.stopping
--- a/tests/gateway/test_stopped_streams.py
+++ b/tests/gateway/test_stopped_streams.py
@@ -174,3 +174,56 @@
 
     assert len(source.moves) == 1
     assert not answer.is_complete
+
+
+def count_outcomes(deployed):
+    """Return the answers and failures that count for the source."""
+    workers = deployed.gateways['gateway-0'].services.fleet.workers
+    return workers['llm-0'].health.measure(deployed.world.now)
+
+
+def end_and_count(deployed, answer, source):
+    """Run until the answer has ended, and return what counts by then."""
+    source.drain(1.2)
+    assert deployed.world.run_until(lambda: answer.ended_at is not None)
+    return count_outcomes(deployed)
+
+
+# Guards against a stopped stream that counts as a good answer of its worker.
+@pytest.mark.parametrize('name', ['error', 'closed', 'unanswered'])
+def test_a_stopped_stream_is_no_evidence(deployed, name, is_before, body):
+    result = Result(name, is_before=is_before)
+    answer, source = moving.start(deployed, result, body=body)
+
+    assert end_and_count(deployed, answer, source) == (0, 0)
+
+
+def test_a_stopped_stream_clears_no_suspect(deployed, body):
+    answer, source = moving.start(deployed, Result('error'), body=body)
+    services = deployed.gateways['gateway-0'].services
+    (flow,) = services.flows
+    services.suspects.record_crash(
+        flow.traits.fingerprint, frozenset(('llm-9',)), deployed.world.now
+    )
+    end_and_count(deployed, answer, source)
+
+    assert flow.traits.fingerprint in services.suspects.by_fingerprint
+
+
+def test_a_stream_that_had_ended_before_a_move_is_evidence(
+    deployed, is_before, body
+):
+    result = Result('', is_before=is_before, wire=NO_SUCH_RUN[0])
+    answer, source = moving.start(deployed, result, body=body)
+
+    assert end_and_count(deployed, answer, source) == (1, 0)
+
+
+def test_a_stream_that_had_broken_before_a_move_is_evidence(deployed):
+    def break_off(source, connection):
+        source.reset(source.stream)
+        connection.send_later(0.05, NO_SUCH_RUN[0])
+
+    answer, source = moving.start(deployed, break_off)
+
+    assert end_and_count(deployed, answer, source) == (1, 1)
