KV cache moves: a handle that is no word is a malformed answer

A faulty worker could add headers, such as an organisation's name, to the request that resumes a stream, by line breaks in the handle of a moved KV cache. A handle with characters outside Latin-1 raised an exception instead, and the caller's stream stayed open until its deadline.

Cause: the handle was sent in a header as it came in the JSON document.

A handle is visible ASCII characters now, 256 at most; any other leaves the run unknown. The 8 new tests fail on the commit before, 6 as the stream went on under such a handle and 2 by the exception; none now.

--- a/citronjunction/platform/kv_cache_moves.py
+++ b/citronjunction/platform/kv_cache_moves.py
@@ -1,6 +1,7 @@
 """Moves of a run's KV cache between workers."""
 
 import json
+import re
 from collections import abc
 
 from absl import logging
@@ -19,6 +20,9 @@
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
+# What can be sent as a part of a header.
+HANDLE = re.compile(r'[\x21-\x7e]{0,256}')
+MAX_SHOWN_CHARACTERS = 40  # of a handle that can't be sent
 JSON_HEADERS = {'Content-Type': 'application/json'}
 
 
@@ -94,7 +98,7 @@
     if reply.status == NOT_FOUND:
         return relocation.NotMoved(reason, relocation.RunState.unaffected)
     try:
-        handle = str(json.loads(reply.body or b'{}').get('handle') or '')
+        handle = _read_handle(reply)
     except errors.DECODE_ERRORS as error:
         return relocation.NotMoved(f'{reason} with a malformed body: {error!r}')
     if reply.status == OK and handle:
@@ -104,6 +108,14 @@
     return relocation.NotMoved(reason)
 
 
+def _read_handle(reply: http_client.Reply) -> str:
+    """Return the handle in an answer, '' without one; raise ValueError."""
+    handle = str(json.loads(reply.body or b'{}').get('handle') or '')
+    if not HANDLE.fullmatch(handle):
+        raise ValueError(f'{handle[:MAX_SHOWN_CHARACTERS]!r} is no handle')
+    return handle
+
+
 def _describe_failure(failure: verdicts.Failure) -> relocation.NotMoved:
     """Return what a call without an answer may have done to the run."""
     match failure:
--- a/tests/gateway/test_stopped_streams.py
+++ b/tests/gateway/test_stopped_streams.py
@@ -227,3 +227,18 @@
     answer, source = moving.start(deployed, break_off)
 
     assert end_and_count(deployed, answer, source) == (1, 1)
+
+
+# Guards against handles that add headers to a request or can't be sent.
+@pytest.mark.parametrize(
+    'handle',
+    [b'h\\r\\nTenant: other', b'a handle', b'\\u20ac', b'h' * 10000],
+)
+def test_a_handle_that_is_no_word_is_malformed(deployed, handle, is_before):
+    wire = moving.respond(200, b'{"handle": "%b"}' % handle)
+    result = Result('', is_before=is_before, wire=wire)
+    answer, source = moving.move(deployed, result)
+
+    assert not answer.is_complete
+    assert not deployed.workers['llm-1'].arrivals
+    assert deployed.ask('/safe/x').status == 200
