Relocation: copies that no stream resumes from are released

A copy of a run held memory and a slot at its target, and memory at the source, until the workers freed it by themselves, where its caller had left while the stream was moved, the target was gone, or its data centre was evacuated.

Cause: a relocation whose request had ended dropped the result of its call.

The relocation asks the source to free the handle, which frees both ends, once the request has ended and no attempt was sent to resume from it.

--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -217,8 +217,6 @@
 
         ``kv_source`` names the copy of its KV cache as ``ADDRESS/HANDLE``.
         """
-        if self.is_over:
-            return
         if self.services.fleet.is_closed(worker):
             self.fail_stream(evidence.describe_evacuated(self.upstream))
             return
@@ -392,4 +390,6 @@
         self.deadline_timer.cancel()
         self.services.flows.discard(self)
         self.response.exchange.on_disconnect = None
+        if self.relocation is not None:
+            self.relocation.on_flow_end()
         recording.record_end(self, outcome, status, reason)
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -89,6 +89,9 @@
     ) -> None:
         """Stop a run and copy its KV cache to the target."""
 
+    def release(self, source: str, handle: str) -> None:
+        """Free the memory that a handle of the source holds at both workers."""
+
     def read_time_left(
         self,
         source: str,
@@ -120,6 +123,7 @@
         'mover',
         'phase',
         'result',
+        'resumed',
         'source',
         'stopped',
         'target',
@@ -138,6 +142,7 @@
         self.mover = mover
         self.phase = Phase.running
         self.stopped: 'attempt.Attempt | None' = None
+        self.resumed: 'attempt.Attempt | None' = None
         self.result: MoveResult | None = None
         self.answered_at: float | None = None
         self.end: StreamEnd | None = None
@@ -170,18 +175,37 @@
         self.result = result
         self.answered_at = self.flow.services.timers.now()
         self._log_result(result)
+        if self.flow.is_over:
+            self._release()
+            return
         match result:
             case NotMoved(run=RunState.unaffected) if self.end is None:
                 self.phase = Phase.over
             case _:
                 self._conclude()
 
+    def on_flow_end(self) -> None:
+        """Release a copy that no attempt was sent to resume from."""
+        resumed = self.resumed
+        if resumed is None or not resumed.call.is_sent:
+            self._release()
+
+    def _release(self) -> None:
+        match self.result:
+            case Moved(handle=handle) | Kept(handle=handle):
+                self.mover.release(self.source.registration.address, handle)
+                self.flow.services.log.write(
+                    'release copy',
+                    self.flow.request.name,
+                    source=self.source.registration.name,
+                    target=self.target.registration.name,
+                )
+
     def _conclude(self) -> None:
         """Continue, finish or fail a stream of which all is known."""
-        if self.result is None or self.end is None or self.flow.is_over:
+        if self.result is None or self.end is None:
             return
         self.phase = Phase.over
-        source = self.source.registration.address
         self.flow.services.log.write(
             'move stream',
             self.flow.request.name,
@@ -192,9 +216,9 @@
         )
         match self.result:
             case Moved(handle=handle):
-                self.flow.resume_at(self.target, f'{source}/{handle}')
+                self._resume(self.target, handle)
             case Kept(handle=handle):
-                self.flow.resume_at(self.source, f'{source}/{handle}')
+                self._resume(self.source, handle)
             case NotMoved(run=RunState.unaffected):
                 self._end_by_itself()
             case NotMoved(reason=reason):
@@ -206,6 +230,11 @@
                     ),
                 )
 
+    def _resume(self, worker: fleet.Worker, handle: str) -> None:
+        source = self.source.registration.address
+        self.flow.resume_at(worker, f'{source}/{handle}')
+        self.resumed = self.flow.attempt
+
     def _end_by_itself(self) -> None:
         match self.end:
             case Closed(source=source):
--- a/citronjunction/platform/kv_cache_moves.py
+++ b/citronjunction/platform/kv_cache_moves.py
@@ -3,6 +3,7 @@
 import json
 import re
 from collections import abc
+from urllib import parse as urls
 
 from absl import logging
 
@@ -61,6 +62,23 @@
         )
         self.client.send(call, sink)
 
+    def release(self, source: str, handle: str) -> None:
+        """Free what a handle holds; the workers do it themselves in the end."""
+        call = http_client.Call(
+            source,
+            'DELETE',
+            names.KV_CACHE_HANDLE.format(urls.quote(handle, safe='')),
+            connect_s=MOVE_TIMEOUT_S / 3,
+            silence_s=MOVE_TIMEOUT_S,
+            limit_s=MOVE_TIMEOUT_S,
+        )
+        sink = http_client.ReplyCollector(
+            lambda reply: _log_release(source, f'status {reply.status}'),
+            lambda failure: _log_release(source, failure.reason),
+            MAX_RESULT_BYTES,
+        )
+        self.client.send(call, sink)
+
     def read_time_left(
         self,
         source: str,
@@ -83,6 +101,10 @@
         self.client.send(call, sink)
 
 
+def _log_release(source: str, outcome: str) -> None:
+    logging.info('release of a copy at %s: %s', source, outcome)
+
+
 def _read_time_left(reply: http_client.Reply) -> float | None:
     try:
         left_ms = json.loads(reply.body).get('leaves_ms')
--- a/tests/support/moving.py
+++ b/tests/support/moving.py
@@ -76,7 +76,7 @@
             self.moves.append(request)
             self.answer_move(self, connection)
         elif request.startswith(b'DELETE /api/kv-handle/'):
-            self.deleted.append(request.split()[1].rpartition(b'/')[2])
+            self.deleted.append(request.split()[1].rpartition(b'/')[2].decode())
             connection.send(respond(200))
         elif self.stream is None:
             self.stream = connection
