Streams: one that expires while it is moved is charged

An organisation with a quota got its charge back for a stream that had run: its deadline, or an evacuation of the target, ended it as 'not run' while it had no attempt, between the end of the source's stream and the result of the move. Callers saw the same: a started answer is cut in either case.

Cause: a request without an attempt counted as one that never had any.

A started answer is recorded as evidence that the request may have run, and the deadline goes by that evidence.

The new test fails on the commit before, not now; tests/gateway, tests/platform and tests/attempts pass.

--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -139,6 +139,7 @@
         dispatching.settle_prompt(self, source)
         if self.first_byte_s is None:
             self.first_byte_s = self.services.timers.now() - source.sent_at
+        self.history.may_have_run = True
         self.response.start(answer)
         self.on_part(source, part)
 
@@ -265,12 +266,11 @@
         """Fail the request, whose answer is not awaited any longer."""
         if self.is_over:
             return
-        if self.attempt is None:
-            self._finish(verdicts.NotRun(text, RETRY_AFTER_S, code=code))
-            return
-        is_connecting = not self.attempt.call.is_sent
-        self.attempt.cancel()
-        self._close_attempt(self.attempt, is_good=None)
+        is_connecting = True
+        if self.attempt is not None:
+            is_connecting = not self.attempt.call.is_sent
+            self.attempt.cancel()
+            self._close_attempt(self.attempt, is_good=None)
         if self.history.may_have_run or not is_connecting:
             self._count_run()
             self._finish(verdicts.MayHaveRun(text, GATEWAY_TIMEOUT, code))
--- a/tests/gateway/test_stopped_streams.py
+++ b/tests/gateway/test_stopped_streams.py
@@ -3,7 +3,7 @@
 import pytest
 
 from citronjunction.gateway import fleet
-from tests.support import moving
+from tests.support import moving, platform_system
 
 UPLOAD = bytes(8000)
 # Results that don't tell whether the run was stopped.
@@ -330,3 +330,23 @@
 
     assert answer.is_complete
     assert not source.deleted
+
+
+# Guards against a refund for a stream that has run, while it is moved.
+def test_a_stream_that_expires_in_a_move_is_charged(deployed):
+    organisation = platform_system.make_tenant('org', 1000, 1000, 5)
+    organisation['apiKeys'] = ['key-org']
+    deployed.configure(tenants=[organisation])
+    deployed.world.run(1)
+    answer, source = moving.start(
+        deployed, Result('unanswered'), deadline_ms=1000
+    )
+    (flow,) = deployed.gateways['gateway-0'].services.flows
+    charge = flow.charge
+    assert charge.cost == 5
+    source.drain(1.2)
+    deployed.world.run(4)
+
+    assert answer.ended_at is not None
+    assert not answer.is_complete
+    assert flow.charge is charge
--- a/tests/support/moving.py
+++ b/tests/support/moving.py
@@ -107,13 +107,13 @@
         self.deployed.set_state(self.name, 'draining')
 
 
-def start(deployed, answer_move, event_count=None, body=b''):
+def start(deployed, answer_move, event_count=None, body=b'', deadline_ms=15000):
     """Return the answer to a stream and its source, which has sent 3 events."""
     source = UnframedSource(deployed, 'llm-0', answer_move, event_count)
     answer = None
     while source.stream is None:
         answer = deployed.send(
-            '/stream/x', method='POST', deadline_ms=15000, body=body
+            '/stream/x', method='POST', deadline_ms=deadline_ms, body=body
         )
         deployed.world.run(0.3)
     return answer, source
