Streams: one that ends as its worker leaves is not complete

Callers got half of a stream as a whole one where a reclaimed worker ran a stream without a length and no move was made: no other worker could take it, the worker had asked for a pause, or could not be connected to.

Cause: that of the streams that a move stopped. The end of the connection was taken for that of the stream, though something else ends it, here the worker itself, which has said when it leaves.

The time at which a worker leaves is kept. An unframed stream whose bytes end from 0.5 s before it to 1.0 s after it fails, and is resumed where the route allows it. Reports are some hundred ms old, so a whole stream may be cut there.

--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -14,6 +14,10 @@
 # Statuses that tell the caller that its request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 SERVER_ERROR = 500
+# How far a worker may leave from the time that it has reported: reports are
+# some hundred ms old, and the end of a connection may arrive late.
+MAX_LEAVE_EARLY_S = 0.5
+MAX_LEAVE_LATE_S = 1.0
 
 
 class Owner(Protocol):
@@ -74,6 +78,7 @@
         'codec',
         'first_byte_at',
         'held_bytes',
+        'input_ended_at',
         'is_over',
         'is_running',
         'is_started',
@@ -116,6 +121,7 @@
         self.pending_prefill_tokens = 0
         self.prefill_tokens = 0
         self.held_bytes = 0
+        self.input_ended_at: float | None = None
         self.is_started = False
         self.is_running = True
         self.is_over = False
@@ -190,6 +196,20 @@
             proof = evidence.Evidence.refused
         self._fail(proof, failure.reason, failure.code)
 
+    def on_input_end(self) -> None:
+        """Free the worker, which sends no more of an unframed answer."""
+        self.input_ended_at = self.clock.now()
+        self.release_worker()
+
+    def may_be_cut(self) -> bool:
+        """Return whether an unframed stream may have ended with its worker."""
+        leaves_at = self.worker.leaves_at
+        ended_at = self.input_ended_at
+        if leaves_at is None or ended_at is None or not self.is_stream:
+            return False
+        late_s = ended_at - leaves_at
+        return -MAX_LEAVE_EARLY_S <= late_s <= MAX_LEAVE_LATE_S
+
     def release_worker(self) -> None:
         """Count the attempt no longer among those that its worker runs."""
         if self.is_running:
--- a/citronjunction/gateway/dispatching.py
+++ b/citronjunction/gateway/dispatching.py
@@ -128,7 +128,7 @@
     flow: 'flows.Flow', source: attempt.Attempt, call: http_client.Call
 ) -> None:
     source.call = flow.services.client.send(call, source)
-    source.call.on_input_end = source.release_worker
+    source.call.on_input_end = source.on_input_end
 
 
 def _build(flow: 'flows.Flow', worker: fleet.Worker) -> attempt.Attempt:
--- a/citronjunction/gateway/evidence.py
+++ b/citronjunction/gateway/evidence.py
@@ -68,6 +68,15 @@
     )
 
 
+def describe_departure(worker: str) -> AttemptFailure:
+    """Return the failure of a stream that ended as its worker left."""
+    return AttemptFailure(
+        Evidence.may_have_run,
+        f'the stream ended as worker {worker} left',
+        'worker_left',
+    )
+
+
 def describe_lost_upstream(upstream: str) -> AttemptFailure:
     """Return the failure of a request on a connection that was cut."""
     return AttemptFailure(
--- a/citronjunction/gateway/fleet.py
+++ b/citronjunction/gateway/fleet.py
@@ -60,6 +60,7 @@
     is_leaving: bool = False
     paused_until: float = 0
     is_absent: bool = False
+    leaves_at: float | None = None
     warming_until: float = 0
     cold_until: float = 0
     is_peer: bool = False
--- a/citronjunction/gateway/flow.py
+++ b/citronjunction/gateway/flow.py
@@ -161,11 +161,16 @@
 
     def on_complete(self, source: attempt.Attempt) -> None:
         """Finish an answer that was relayed in parts."""
-        if source.answer.is_framed or not relocation.may_have_stopped(self):
+        if source.answer.is_framed:
+            self.finish_stream(source)
+        elif relocation.may_have_stopped(self):
+            self._close_attempt(source, is_good=None)
+            self.relocation.on_stream_end(relocation.Closed(source))
+        elif source.may_be_cut():
+            worker = source.worker.registration.name
+            self.on_failed(source, evidence.describe_departure(worker))
+        else:
             self.finish_stream(source)
-            return
-        self._close_attempt(source, is_good=None)
-        self.relocation.on_stream_end(relocation.Closed(source))
 
     def on_buffered_answer(
         self,
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -323,6 +323,7 @@
             running=worker.running,
         )
         timers = self.services.timers
+        worker.leaves_at = timers.now() + left_s
         stop_in_s = max(0, left_s - STOP_LEAD_S)
         timers.call_later(stop_in_s, lambda: self._stop_streams(worker))
 
--- a/tests/gateway/test_stopped_streams.py
+++ b/tests/gateway/test_stopped_streams.py
@@ -350,3 +350,53 @@
     assert answer.ended_at is not None
     assert not answer.is_complete
     assert flow.charge is charge
+
+
+@pytest.fixture
+def alone():
+    """Return a deployment whose streams can't be moved anywhere."""
+    return moving.build(workers=1)
+
+
+# Guards against half a stream that ends as a whole one, since its worker leaves
+# and there is no other.
+@pytest.mark.parametrize('early_s', [0, 0.3])
+def test_a_stream_that_ends_as_its_worker_leaves_is_not_complete(
+    alone, body, early_s
+):
+    answer, source = moving.start(alone, Result('error'), body=body)
+    source.drain(1.2)
+    alone.world.run(1.2 - early_s)
+    source.host.kill()
+    alone.world.run(3)
+
+    assert not source.moves
+    assert answer.ended_at is not None
+    assert not answer.is_complete
+
+
+@pytest.mark.parametrize('event_count', [5, 40])
+def test_a_stream_that_ends_well_before_or_after_is_complete(
+    alone, body, event_count
+):
+    answer, source = moving.start(
+        alone, Result('error'), event_count=event_count, body=body
+    )
+    source.drain(1.2)
+    alone.world.run(8)
+
+    assert answer.is_complete
+    assert len(moving.read_numbers(answer)) == event_count
+
+
+def test_a_chunked_stream_that_ends_as_its_worker_leaves_is_complete():
+    deployed = moving.build(workers=1)
+    worker = deployed.workers['llm-0']
+    worker.behaviour.event_count = 15
+    answer = deployed.send('/stream/x', method='POST', deadline_ms=15000)
+    deployed.world.run(0.3)
+    worker.leaves_at = deployed.world.now + 1.2
+    deployed.set_state('llm-0', 'draining')
+    deployed.world.run(4)
+
+    assert answer.is_complete
--- a/tests/support/moving.py
+++ b/tests/support/moving.py
@@ -16,8 +16,8 @@
 )
 
 
-def build():
-    """Return a deployment with two workers that send streams of 5 s."""
+def build(workers=2):
+    """Return a deployment whose workers send streams of 5 s."""
     system = platform_system.PlatformSystem()
     system.configuration['services'][1] = MOVING
     system.configuration['routes'] = [
@@ -26,7 +26,7 @@
         ),
         platform_system.make_route('safe', '/safe/', 'safe', 'app'),
     ]
-    system.build(workers=2)
+    system.build(workers=workers)
     for worker in system.workers.values():
         worker.behaviour.event_count = EVENTS
         worker.behaviour.event_interval_s = INTERVAL_S
