--- a/tests/gateway/test_relocation.py
+++ b/tests/gateway/test_relocation.py
@@ -129,3 +129,71 @@
     assert answer.is_complete
     assert numbers(answer) == list(range(1, source.number + 1))
     assert not deployed.workers['llm-1'].runs
+
+
+def test_a_moved_stream_is_moved_again():
+    deployed = moving.build(workers=3)
+    answer, first, _ = start_stream(deployed)
+    drain(deployed, first, 1.2)
+    deployed.world.run(1.2)
+    (second,) = (
+        name
+        for name, worker in deployed.workers.items()
+        if worker.runs and name != first
+    )
+    drain(deployed, second, 1.2)
+    deployed.world.run(8)
+
+    assert answer.is_complete
+    assert numbers(answer) == list(range(1, EVENTS + 1))
+    assert deployed.count_runs('request-1') == 3
+    assert len(deployed.workers[second].moves) == 1
+
+
+# Guards against a result of the first move that hides that of the second.
+def test_a_moved_stream_whose_second_move_fails_is_not_complete():
+    deployed = moving.build(workers=3)
+    answer, first, _ = start_stream(deployed)
+    deployed.workers[first].move_status = 503
+    drain(deployed, first, 1.2)
+    deployed.world.run(1.2)
+    assert len(deployed.workers[first].runs) == 2
+    deployed.workers[first].move_status = 500
+    node = deployed.gateways['gateway-0']
+    node.relocations.schedule(node.services.fleet.workers[first])
+    deployed.world.run(8)
+
+    assert len(deployed.workers[first].moves) == 2
+    assert answer.ended_at is not None
+    assert not answer.is_complete
+
+
+FORWARDED = {
+    'moved': (200, b'{"handle": "h"}', True),
+    'ended': (404, b'{}', True),
+    'unclear': (500, b'{}', False),
+}
+
+
+# Guards against half a stream that a peer passes on as a whole one.
+@pytest.mark.parametrize('kind', FORWARDED)
+def test_a_stream_by_a_peer_ends_as_its_move_says(kind):
+    status, body, is_complete = FORWARDED[kind]
+
+    def answer_move(source, connection):
+        source.end()
+        connection.send_later(0.05, moving.respond(status, body))
+
+    deployed = moving.build(gateways=2)
+    deployed.world.refuse(['gateway-0'], deployed.workers)
+    deployed.press(['gateway-0'], 3, 20)
+    for node in deployed.gateways.values():
+        for address, _ in tuple(node.services.client.pool.idle):
+            node.services.client.pool.drop(address)
+    answer, source = moving.move(deployed, answer_move)
+
+    assert len(source.moves) == 1
+    assert answer.ended_at is not None
+    assert answer.is_complete is is_complete
+    if kind == 'moved':
+        assert numbers(answer) == list(range(1, EVENTS + 1))
--- a/tests/support/moving.py
+++ b/tests/support/moving.py
@@ -16,7 +16,7 @@
 )
 
 
-def build(workers=2):
+def build(workers=2, gateways=1):
     """Return a deployment whose workers send streams of 5 s."""
     system = platform_system.PlatformSystem()
     system.configuration['services'][1] = MOVING
@@ -26,7 +26,7 @@
         ),
         platform_system.make_route('safe', '/safe/', 'safe', 'app'),
     ]
-    system.build(workers=workers)
+    system.build(workers=workers, gateways=gateways)
     for worker in system.workers.values():
         worker.behaviour.event_count = EVENTS
         worker.behaviour.event_interval_s = INTERVAL_S
