Relocation: many streams of a worker are stopped in the order of their copies

The length of a copy follows from the engine's figures in the configuration and the tokens in the worker's list of runs. Each entry derives the order of all copies from that list and stops its own streams as their turn comes, so that the last copy ends 0.5 s before the worker, and 0.9 s before its end at the latest, as before. Streams run on while others are copied.

The results of moves and the port of the mover went to the new package reclaims, which needs nothing of the gateway.

--- a/citronjunction/gateway/adapters.py
+++ b/citronjunction/gateway/adapters.py
@@ -4,7 +4,8 @@
 from typing import Protocol
 
 from citronjunction.duties import models as duties
-from citronjunction.gateway import evacuating, models, ports, relocation
+from citronjunction.gateway import evacuating, models, ports
+from citronjunction.reclaims import moves
 from citronjunction.store import eras, records
 
 
@@ -52,4 +53,4 @@
     store: records.Store
     eras: eras.Eras
     cloud: duties.Cloud
-    mover: relocation.Mover
+    mover: moves.Mover
--- a/citronjunction/gateway/models.py
+++ b/citronjunction/gateway/models.py
@@ -89,13 +89,15 @@
     """Describe the model engine of an upstream's workers.
 
     ``cache_tokens`` is the capacity of the KV cache. ``can_move`` means that
-    the KV cache of a run can be copied to another worker.
+    the KV cache of a run can be copied to another worker, which takes
+    ``token_copy_s`` a token within a data centre; 0 if unknown.
     """
 
     slots: int
     cache_tokens: int
     can_move: bool
     can_back_up: bool
+    token_copy_s: float = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -8,57 +8,28 @@
 
 import dataclasses
 import enum
+import functools
 from collections import abc
-from typing import TYPE_CHECKING, Protocol, Union
+from typing import TYPE_CHECKING, Union
 
 from citronjunction.gateway import context, evidence, fleet, models
+from citronjunction.reclaims import models as reclaims
+from citronjunction.reclaims import moves, schedule
 
 if TYPE_CHECKING:
     from citronjunction.gateway import attempt, flow
 
-# Time before a worker's end at which its streams are stopped. A copy takes 50
-# to 100 ms, the copies of a worker run one after another, and the worker's
-# report of its time left is some hundred ms old.
+# Time before a worker's end at which its streams are stopped at the latest. A
+# copy takes 50 to 100 ms, and the worker's report of its time left is some
+# hundred ms old.
 STOP_LEAD_S = 0.9
+REMOTE_FACTOR = 2  # of the time of a copy to another data centre
 ASK_INTERVAL_S = 0.25  # a worker's report is some hundred ms old
 # An event may arrive that late after it was sent, if its packet is lost twice.
 MAX_EVENT_DELAY_S = 1.5
 MAX_ASKS = 3  # a worker that drains without an end time reports none
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Moved:
-    """Result: the KV cache of a run is at the target under a handle."""
-
-    handle: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Kept:
-    """Result: the KV cache of a stopped run stayed at the source."""
-
-    handle: str
-
-
-class RunState(enum.Enum):
-    """What a call that has copied nothing has done to the run."""
-
-    unaffected = 'unaffected'  # it had ended before, or the call was not sent
-    unknown = 'unknown'  # only further events show that it was not stopped
-    unanswered = 'unanswered'  # the source may still stop it, at any time
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class NotMoved:
-    """Result: nothing was copied."""
-
-    reason: str
-    run: RunState = RunState.unknown
-
-
-MoveResult = Union[Moved, Kept, NotMoved]
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Closed:
     """End of a stream that only the end of its connection marks."""
@@ -77,29 +48,6 @@
 StreamEnd = Union[Closed, Broken]
 
 
-class Mover(Protocol):
-    """Move the KV caches of runs between workers, given by address."""
-
-    def move(
-        self,
-        source: str,
-        request: str,
-        target: str,
-        on_result: abc.Callable[[MoveResult], None],
-    ) -> None:
-        """Stop a run and copy its KV cache to the target."""
-
-    def release(self, source: str, handle: str) -> None:
-        """Free the memory that a handle of the source holds at both workers."""
-
-    def read_time_left(
-        self,
-        source: str,
-        on_read: abc.Callable[[float | None], None],
-    ) -> None:
-        """Request the seconds until a worker ends; None if unknown."""
-
-
 class Phase(enum.Enum):
     """Phase of a relocation."""
 
@@ -134,7 +82,7 @@
         flow: 'flow.Flow',
         source: fleet.Worker,
         target: fleet.Worker,
-        mover: Mover,
+        mover: moves.Mover,
     ) -> None:
         self.flow = flow
         self.source = source
@@ -143,7 +91,7 @@
         self.phase = Phase.running
         self.stopped: 'attempt.Attempt | None' = None
         self.resumed: 'attempt.Attempt | None' = None
-        self.result: MoveResult | None = None
+        self.result: moves.MoveResult | None = None
         self.answered_at: float | None = None
         self.end: StreamEnd | None = None
 
@@ -161,7 +109,7 @@
     def on_event(self) -> None:
         """Handle an event, which may show that the run was not stopped."""
         match self.result:
-            case NotMoved(run=RunState.unknown):
+            case moves.NotMoved(run=moves.RunState.unknown):
                 now = self.flow.services.timers.now()
                 if now - self.answered_at > MAX_EVENT_DELAY_S:
                     self.phase = Phase.over
@@ -171,7 +119,7 @@
         self.end = end
         self._conclude()
 
-    def _on_stopped(self, result: MoveResult) -> None:
+    def _on_stopped(self, result: moves.MoveResult) -> None:
         self.result = result
         self.answered_at = self.flow.services.timers.now()
         self._log_result(result)
@@ -179,7 +127,9 @@
             self._release()
             return
         match result:
-            case NotMoved(run=RunState.unaffected) if self.end is None:
+            case moves.NotMoved(run=moves.RunState.unaffected) if (
+                self.end is None
+            ):
                 self.phase = Phase.over
             case _:
                 self._conclude()
@@ -192,7 +142,7 @@
 
     def _release(self) -> None:
         match self.result:
-            case Moved(handle=handle) | Kept(handle=handle):
+            case moves.Moved(handle=handle) | moves.Kept(handle=handle):
                 self.mover.release(self.source.registration.address, handle)
                 self.flow.services.log.write(
                     'release copy',
@@ -215,13 +165,13 @@
             last_event=self.flow.last_event,
         )
         match self.result:
-            case Moved(handle=handle):
+            case moves.Moved(handle=handle):
                 self._resume(self.target, handle)
-            case Kept(handle=handle):
+            case moves.Kept(handle=handle):
                 self._resume(self.source, handle)
-            case NotMoved(run=RunState.unaffected):
+            case moves.NotMoved(run=moves.RunState.unaffected):
                 self._end_by_itself()
-            case NotMoved(reason=reason):
+            case moves.NotMoved(reason=reason):
                 self.flow.fail_stream(
                     evidence.AttemptFailure(
                         evidence.Evidence.may_have_run,
@@ -242,9 +192,9 @@
             case Broken(source=source, failed=failed):
                 self.flow.fail_attempt(source, failed)
 
-    def _log_result(self, result: MoveResult) -> None:
+    def _log_result(self, result: moves.MoveResult) -> None:
         match result:
-            case NotMoved(reason=reason, run=run):
+            case moves.NotMoved(reason=reason, run=run):
                 state = run.value
             case _:
                 reason, state = '', 'stopped'
@@ -266,7 +216,7 @@
 class Relocations:
     """Relocate the streams of workers that are being reclaimed."""
 
-    def __init__(self, services: context.Services, mover: Mover) -> None:
+    def __init__(self, services: context.Services, mover: moves.Mover) -> None:
         self.services = services
         self.mover = mover
 
@@ -289,19 +239,19 @@
         else:
             self.mover.read_time_left(
                 worker.registration.address,
-                lambda left_s: self._on_time_left(
-                    worker, left_s, asks_left - 1
+                lambda time_left: self._on_time_left(
+                    worker, time_left, asks_left - 1
                 ),
             )
 
     def _on_time_left(
         self,
         worker: fleet.Worker,
-        left_s: float | None,
+        time_left: reclaims.TimeLeft | None,
         asks_left: int,
     ) -> None:
-        if left_s is not None:
-            self._schedule_stop(worker, left_s)
+        if time_left is not None:
+            self._schedule_stops(worker, time_left)
         elif asks_left:
             self.services.timers.call_later(
                 ASK_INTERVAL_S,
@@ -315,19 +265,58 @@
             if flow.route.kind is models.RouteKind.stream
         )
 
-    def _schedule_stop(self, worker: fleet.Worker, left_s: float) -> None:
+    def _schedule_stops(
+        self, worker: fleet.Worker, time_left: reclaims.TimeLeft
+    ) -> None:
+        """Schedule the stops of streams, the first ones early if many run."""
+        left_s = time_left.left_s
+        leads = self._compute_leads(worker, time_left.runs)
+        first_lead_s = max(leads.values(), default=0)
         self.services.log.write(
             'worker leaves',
             worker.registration.name,
             left_s=left_s,
             running=worker.running,
+            first_lead_s=round(max(STOP_LEAD_S, first_lead_s), 3),
         )
         timers = self.services.timers
         worker.leaves_at = timers.now() + left_s
+        for request, lead_s in leads.items():
+            if lead_s > STOP_LEAD_S:
+                timers.call_later(
+                    max(0, left_s - lead_s),
+                    functools.partial(self._stop_streams, worker, request),
+                )
         stop_in_s = max(0, left_s - STOP_LEAD_S)
         timers.call_later(stop_in_s, lambda: self._stop_streams(worker))
 
-    def _stop_streams(self, worker: fleet.Worker) -> None:
+    def _compute_leads(
+        self, worker: fleet.Worker, runs: abc.Iterable[reclaims.Run]
+    ) -> dict[str, float]:
+        registration = worker.registration
+        policy = self.services.configuration.upstreams.get(
+            registration.upstream
+        )
+        if policy is None or policy.engine is None:
+            return {}
+        token_copy_s = policy.engine.token_copy_s
+        if any(
+            other.registration.zone != registration.zone
+            for other in self.services.fleet.select(registration.upstream)
+        ):
+            token_copy_s *= REMOTE_FACTOR
+        return schedule.compute_leads(
+            runs,
+            token_copy_s,
+            {
+                flow.request.name: _is_movable(flow, worker)
+                for flow in self.services.flows
+                if flow.attempt is not None and flow.attempt.worker is worker
+            },
+        )
+
+    def _stop_streams(self, worker: fleet.Worker, request: str = '') -> None:
+        """Stop the streams of a worker, or one of them."""
         if worker.is_paused(self.services.timers.now()):
             self.services.log.write(
                 'streams not moved',
@@ -336,7 +325,8 @@
             )
             return
         for stream in self._select_streams(worker):
-            self._relocate(stream, worker)
+            if request in {'', stream.request.name}:
+                self._relocate(stream, worker)
 
     def _select_streams(self, worker: fleet.Worker) -> list['flow.Flow']:
         return [
--- a/citronjunction/platform/configuration.py
+++ b/citronjunction/platform/configuration.py
@@ -12,9 +12,12 @@
 from citronjunction.inspection import models as inspection
 
 MS_PER_S = 1000
+BITS_PER_BYTE = 8
+BITS_PER_MBIT = 1000000
 KIND = 'config'
 NAME = 'main'
 ROLLOUT_KIND = 'rollouts'
+MAX_ENGINE_FIGURE = 1e15  # a larger one is wrong
 MAX_COLD_S = 3600.0
 MAX_COLD_PER_S = 1e6
 
@@ -74,6 +77,8 @@
     kv_capacity: int = 0
     moves: bool = False
     backups: bool = False
+    kv_token_bytes: object = 0
+    link_mbps: object = 0
 
 
 class WireColdStart(WireModel):
@@ -277,6 +282,15 @@
     )
 
 
+def compute_token_copy_s(wire: WireEngine) -> float:
+    """Return the time to copy a token's KV cache, 0 if it is not stated."""
+    match wire.kv_token_bytes, wire.link_mbps:
+        case (int() | float()) as size, (int() | float()) as rate:
+            if 0 < size < MAX_ENGINE_FIGURE and 0 < rate < MAX_ENGINE_FIGURE:
+                return size * BITS_PER_BYTE / (rate * BITS_PER_MBIT)
+    return 0
+
+
 def _build_upstream(wire: WireService) -> models.UpstreamPolicy:
     scaling = None
     if wire.scaling is not None:
@@ -294,6 +308,7 @@
             wire.engine.kv_capacity,
             wire.engine.moves,
             wire.engine.backups,
+            compute_token_copy_s(wire.engine),
         )
     return models.UpstreamPolicy(
         wire.name,
--- a/citronjunction/platform/kv_cache_moves.py
+++ b/citronjunction/platform/kv_cache_moves.py
@@ -8,8 +8,9 @@
 from absl import logging
 
 from citronjunction.documents import errors
-from citronjunction.gateway import relocation
 from citronjunction.platform import names
+from citronjunction.reclaims import models as reclaims
+from citronjunction.reclaims import moves
 from citronjunction.transport import http_client
 from citronjunction.verdicts import models as verdicts
 
@@ -18,6 +19,7 @@
 MOVE_TIMEOUT_S = 1.5  # a copy queues behind others on the same network link
 MAX_REPORT_BYTES = 1048576  # lists all runs of a worker
 MAX_RESULT_BYTES = 65536
+MAX_RUN_TOKENS = 1 << 30  # a larger figure is wrong
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -40,7 +42,7 @@
         source: str,
         request: str,
         target: str,
-        on_result: abc.Callable[[relocation.MoveResult], None],
+        on_result: abc.Callable[[moves.MoveResult], None],
     ) -> None:
         """Stop a run at the source and copy its KV cache to the target."""
         document = {'id': request, 'target': target, 'last': True}
@@ -82,9 +84,9 @@
     def read_time_left(
         self,
         source: str,
-        on_read: abc.Callable[[float | None], None],
+        on_read: abc.Callable[[reclaims.TimeLeft | None], None],
     ) -> None:
-        """Request the seconds until a worker ends; None if unknown."""
+        """Request when a worker ends; None if unknown."""
         call = http_client.Call(
             source,
             'GET',
@@ -105,29 +107,43 @@
     logging.info('release of a copy at %s: %s', source, outcome)
 
 
-def _read_time_left(reply: http_client.Reply) -> float | None:
+def _read_time_left(reply: http_client.Reply) -> reclaims.TimeLeft | None:
     try:
-        left_ms = json.loads(reply.body).get('leaves_ms')
-        return None if left_ms is None else left_ms / MS_PER_S
+        document = json.loads(reply.body)
+        left_ms = document.get('leaves_ms')
+        if left_ms is None:
+            return None
+        return reclaims.TimeLeft(
+            left_ms / MS_PER_S, tuple(_read_runs(document.get('runs')))
+        )
     except errors.DECODE_ERRORS as error:
         logging.warning('worker report is malformed: %.200r', error)
         return None
 
 
-def _decode_result(reply: http_client.Reply) -> relocation.MoveResult:
+def _read_runs(wire: object) -> abc.Iterator[reclaims.Run]:
+    """Return the runs of a report without those that can't be read."""
+    for entry in wire if isinstance(wire, list) else ():
+        match entry:
+            case [str() as request, int() as tokens, int() as events, *_]:
+                tokens = min(max(0, tokens), MAX_RUN_TOKENS)
+                yield reclaims.Run(request, tokens, events)
+
+
+def _decode_result(reply: http_client.Reply) -> moves.MoveResult:
     """Return what an answer says; a 404 says that there is no such run."""
     reason = f'the worker answered {reply.status}'
     if reply.status == NOT_FOUND:
-        return relocation.NotMoved(reason, relocation.RunState.unaffected)
+        return moves.NotMoved(reason, moves.RunState.unaffected)
     try:
         handle = _read_handle(reply)
     except errors.DECODE_ERRORS as error:
-        return relocation.NotMoved(f'{reason} with a malformed body: {error!r}')
+        return moves.NotMoved(f'{reason} with a malformed body: {error!r}')
     if reply.status == OK and handle:
-        return relocation.Moved(handle)
+        return moves.Moved(handle)
     if reply.status == UNAVAILABLE and handle:
-        return relocation.Kept(handle)
-    return relocation.NotMoved(reason)
+        return moves.Kept(handle)
+    return moves.NotMoved(reason)
 
 
 def _read_handle(reply: http_client.Reply) -> str:
@@ -138,13 +154,13 @@
     return handle
 
 
-def _describe_failure(failure: verdicts.Failure) -> relocation.NotMoved:
+def _describe_failure(failure: verdicts.Failure) -> moves.NotMoved:
     """Return what a call without an answer may have done to the run."""
     match failure:
         case verdicts.NotRun():
-            run = relocation.RunState.unaffected
+            run = moves.RunState.unaffected
         case verdicts.MayHaveRun(code='timeout'):
-            run = relocation.RunState.unanswered
+            run = moves.RunState.unanswered
         case verdicts.MayHaveRun():
-            run = relocation.RunState.unknown
-    return relocation.NotMoved(failure.reason, run)
+            run = moves.RunState.unknown
+    return moves.NotMoved(failure.reason, run)
--- /dev/null
+++ b/citronjunction/reclaims/__init__.py
@@ -0,0 +1,1 @@
+"""Reclaims of workers, whose runs are moved elsewhere before their end."""
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -3,8 +3,8 @@
 import pytest
 
 from citronjunction.duties import models as duties
-from citronjunction.gateway import relocation
 from citronjunction.platform import cloud, kv_cache_moves, object_store
+from citronjunction.reclaims import moves
 from citronjunction.store import eras, records
 from tests.support import endless, scripted, virtual
 
@@ -80,7 +80,7 @@
             return result is duties.CallResult.unavailable
         case records.Unavailable(may_take_effect=may_take_effect):
             return may_take_effect
-    return result is None or isinstance(result, relocation.NotMoved)
+    return result is None or isinstance(result, moves.NotMoved)
 
 
 @pytest.mark.parametrize('kind', BODIES)
--- a/tests/support/moving.py
+++ b/tests/support/moving.py
@@ -6,7 +6,13 @@
     'name': 'llm',
     'healthPath': '/healthz',
     'maxConns': 100,
-    'engine': {'slots': 64, 'kvCapacity': 700000, 'moves': True},
+    'engine': {
+        'slots': 64,
+        'kvCapacity': 700000,
+        'kvTokenBytes': 163840,
+        'linkMbps': 370000.0,
+        'moves': True,
+    },
 }
 EVENTS = 50
 INTERVAL_S = 0.1  # between events
@@ -16,7 +22,7 @@
 )
 
 
-def build(workers=2, gateways=1):
+def build(workers=2, gateways=1, zones=('z1',)):
     """Return a deployment whose workers send streams of 5 s."""
     system = platform_system.PlatformSystem()
     system.configuration['services'][1] = MOVING
@@ -27,6 +33,10 @@
         platform_system.make_route('safe', '/safe/', 'safe', 'app'),
     ]
     system.build(workers=workers, gateways=gateways)
+    for number in range(workers):
+        zone = zones[number % len(zones)]
+        system.set_state(f'llm-{number}', 'ready', zone=zone)
+    system.world.run(1)
     for worker in system.workers.values():
         worker.behaviour.event_count = EVENTS
         worker.behaviour.event_interval_s = INTERVAL_S
--- a/tests/support/platform_worker.py
+++ b/tests/support/platform_worker.py
@@ -54,7 +54,8 @@
 
     ``arrivals`` are all requests of callers, which came at ``arrived_at``,
     ``runs`` those that were accepted and ``cancelled`` those whose connection
-    closed before the answer ended.
+    closed before the answer ended. A move takes ``copy_s``, one after another
+    with ``copies_serially``.
     """
 
     def __init__(self, host, name):
@@ -75,6 +76,11 @@
         self.move_status = 200
         self.leaves_at = None
         self.omits_handle = False
+        self.copy_s = 0.05
+        self.copies_serially = False
+        self.copied_at = 0
+        self.moved_at = []
+        self.made = {}
 
     def handle(self, exchange):
         request = exchange.request
@@ -83,6 +89,11 @@
             report = {'phase': 'mixed'}
             if left_s is not None:
                 report['leaves_ms'] = round(left_s * 1000)
+                report['runs'] = [
+                    [name, 12000, self.made.get(name, 0), 1]
+                    for name, running in self.streams.items()
+                    if not running.is_done
+                ]
             exchange.respond(200, {}, json.dumps(report).encode())
             return
         if request.path.startswith('/api/kv-'):
@@ -174,6 +185,7 @@
             return
         document = json.loads(request.body)
         self.moves.append(document)
+        self.moved_at.append(self.host.timers.now())
         running = self.streams.get(document['id'])
         if running is None or running.is_done:
             exchange.respond(404, {}, b'{}')
@@ -183,8 +195,11 @@
         answer = {'handle': f'h-{document["id"]}', 'createdRev': 1}
         if self.omits_handle:
             answer = {}
+        now = self.host.timers.now()
+        begins_at = max(now, self.copied_at) if self.copies_serially else now
+        self.copied_at = begins_at + self.copy_s
         self.host.timers.call_later(
-            0.05,
+            self.copied_at - now,
             lambda: exchange.respond(
                 self.move_status, {}, json.dumps(answer).encode()
             ),
@@ -231,6 +246,7 @@
             exchange.finish()
             return
         exchange.push(b'id: %d\ndata: t%d\n\n' % (number, number))
+        self.made[exchange.request.headers['attempt-id']] = number
         parts = exchange.request.headers.get('prefix-hash', '')
         if behaviour.deadly_part and behaviour.deadly_part in parts:
             self.host.kill()
