Relocation: copies that take longer than is left begin in turn

Where the copies of a worker take longer than it has left, all streams whose turn lay in the past were stopped at once, and stood still until the queue of copies reached them, though none of them was saved by it.

Cause: the starts were counted back from the worker's end only.

The starts are computed from now on: the first copy begins at once if time is short, and each other one as those before it have ended. The line 'worker leaves' tells when the first stream is stopped and how many are stopped early.

--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -9,7 +9,6 @@
 import dataclasses
 import enum
 import functools
-from collections import abc
 from typing import TYPE_CHECKING, Union
 
 from citronjunction.gateway import context, evidence, fleet, models
@@ -222,14 +221,9 @@
 
     def schedule(self, worker: fleet.Worker) -> None:
         """Schedule the moves of the streams of a draining worker."""
-        configuration = self.services.configuration
-        if configuration is None:
-            return
-        policy = configuration.upstreams.get(worker.registration.upstream)
-        engine = policy and policy.engine
-        if engine is None or not engine.can_move:
-            return
-        self._ask_time_left(worker, MAX_ASKS)
+        engine = self._get_engine(worker.registration.upstream)
+        if engine is not None and engine.can_move:
+            self._ask_time_left(worker, MAX_ASKS)
 
     def _ask_time_left(self, worker: fleet.Worker, asks_left: int) -> None:
         if not self._has_streams(worker):
@@ -270,43 +264,42 @@
     ) -> None:
         """Schedule the stops of streams, the first ones early if many run."""
         left_s = time_left.left_s
-        leads = self._compute_leads(worker, time_left.runs)
-        first_lead_s = max(leads.values(), default=0)
+        last_s = max(0, left_s - STOP_LEAD_S)
+        starts = {
+            request: start_s
+            for request, start_s in self._plan(worker, time_left).items()
+            if start_s < last_s
+        }
         self.services.log.write(
             'worker leaves',
             worker.registration.name,
             left_s=left_s,
             running=worker.running,
-            first_lead_s=round(max(STOP_LEAD_S, first_lead_s), 3),
+            first_stop_in_s=round(min(starts.values(), default=last_s), 3),
+            early_stops=len(starts),
         )
         timers = self.services.timers
         worker.leaves_at = timers.now() + left_s
-        for request, lead_s in leads.items():
-            if lead_s > STOP_LEAD_S:
-                timers.call_later(
-                    max(0, left_s - lead_s),
-                    functools.partial(self._stop_streams, worker, request),
-                )
-        stop_in_s = max(0, left_s - STOP_LEAD_S)
-        timers.call_later(stop_in_s, lambda: self._stop_streams(worker))
+        for request, start_s in starts.items():
+            timers.call_later(
+                start_s, functools.partial(self._stop_streams, worker, request)
+            )
+        timers.call_later(last_s, lambda: self._stop_streams(worker))
 
-    def _compute_leads(
-        self, worker: fleet.Worker, runs: abc.Iterable[reclaims.Run]
+    def _plan(
+        self, worker: fleet.Worker, time_left: reclaims.TimeLeft
     ) -> dict[str, float]:
+        """Return by request in how many seconds its stream should stop."""
         registration = worker.registration
-        policy = self.services.configuration.upstreams.get(
-            registration.upstream
-        )
-        if policy is None or policy.engine is None:
-            return {}
-        token_copy_s = policy.engine.token_copy_s
+        engine = self._get_engine(registration.upstream)
+        token_copy_s = engine.token_copy_s if engine else 0
         if any(
             other.registration.zone != registration.zone
             for other in self.services.fleet.select(registration.upstream)
         ):
             token_copy_s *= REMOTE_FACTOR
-        return schedule.compute_leads(
-            runs,
+        return schedule.compute_starts(
+            time_left,
             token_copy_s,
             {
                 flow.request.name: _is_movable(flow, worker)
@@ -315,6 +308,11 @@
             },
         )
 
+    def _get_engine(self, upstream: str) -> models.Engine | None:
+        configuration = self.services.configuration
+        policy = configuration and configuration.upstreams.get(upstream)
+        return policy.engine if policy else None
+
     def _stop_streams(self, worker: fleet.Worker, request: str = '') -> None:
         """Stop the streams of a worker, or one of them."""
         if worker.is_paused(self.services.timers.now()):
--- a/citronjunction/reclaims/schedule.py
+++ b/citronjunction/reclaims/schedule.py
@@ -8,30 +8,32 @@
 
 from citronjunction.reclaims import models
 
-# Between the end that a worker reports, some hundred ms late, and the last copy.
+# Between the end of the last copy and that of the worker, as reports of its
+# time left are some hundred ms old.
 MARGIN_S = 0.5
 
 
-def compute_leads(
-    runs: abc.Iterable[models.Run],
+def compute_starts(
+    time_left: models.TimeLeft,
     token_copy_s: float,
     movable: abc.Mapping[str, bool],
 ) -> dict[str, float]:
-    """Return by request how long before the worker's end its copy begins.
+    """Return by request in how many seconds its copy should begin.
 
     ``movable`` tells of the entry's own requests whether they would be moved;
     those of other entries are taken to be moved as often. The youngest streams
     are copied first, since the others may end before their turn.
     """
-    order = sorted(
-        runs, key=lambda run: (run.events, run.request), reverse=True
-    )
     share = sum(movable.values()) / len(movable) if movable else 0
-    leads: dict[str, float] = {}
-    lead_s = MARGIN_S
-    for run in order:
-        weight = movable.get(run.request, share)
-        lead_s += weight * run.tokens * token_copy_s
-        if weight and run.request in movable:
-            leads[run.request] = lead_s
-    return leads
+    runs = sorted(time_left.runs, key=lambda run: (run.events, run.request))
+    copies_s = [
+        movable.get(run.request, share) * run.tokens * token_copy_s
+        for run in runs
+    ]
+    starts: dict[str, float] = {}
+    start_s = max(0, time_left.left_s - MARGIN_S - sum(copies_s))
+    for run, copy_s in zip(runs, copies_s):
+        if movable.get(run.request):
+            starts[run.request] = start_s
+        start_s += copy_s
+    return starts
