Tests: a second call for a running stream shows on the code before the fix

test_a_stream_is_told_to_stop_once held before the fix as well, since its stream had ended by the time of the second call. It is played with a stream that goes on, and with one whose end waits for a reset, too: 3 of 4 fail on, with two calls for one attempt, none now.

--- a/tests/gateway/test_stopped_streams.py
+++ b/tests/gateway/test_stopped_streams.py
@@ -165,13 +165,17 @@
 
 
 # Guards against a second call, whose result would hide that of the first.
-def test_a_stream_is_told_to_stop_once(deployed):
-    answer, source = moving.start(deployed, Result('unanswered'))
+@pytest.mark.parametrize('is_stopped', [True, False])
+def test_a_stream_is_told_to_stop_once(deployed, is_stopped, body):
+    result = Result('unanswered', is_stopped=is_stopped)
+    answer, source = moving.start(
+        deployed, result, event_count=moving.EVENTS, body=body
+    )
     source.drain(1.2)
     deployed.world.run(0.4)
     node = deployed.gateways['gateway-0']
     node.relocations.schedule(node.services.fleet.workers['llm-0'])
-    deployed.world.run(4)
+    deployed.world.run(8)
 
     assert len(source.moves) == 1
     assert not answer.is_complete
