Relocation: one selection of a worker's requests, one age of its reports

Behaviour is as before. Three loops selected the requests that run at a worker; they share _select_flows, and _is_movable no longer compares workers. Two constants of 0.5 s stood for the age of a worker's report, in the schedule of copies and in the time at which a worker may leave; they are one, MAX_REPORT_AGE_S. _stop_streams took an empty name for all requests, though a request may lack a name; it takes None.

tests/reclaims, tests/platform, test_relocation.py, test_stopped_streams.py and test_moves_in_turn.py pass.

--- a/citronjunction/gateway/attempt.py
+++ b/citronjunction/gateway/attempt.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from citronjunction.gateway import events, evidence, fleet, models, ports
+from citronjunction.reclaims import models as reclaims
 from citronjunction.transport import http_client, timer_queue
 from citronjunction.verdicts import http
 from citronjunction.verdicts import models as verdicts
@@ -14,10 +15,7 @@
 # Statuses that tell the caller that its request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 SERVER_ERROR = 500
-# How far a worker may leave from the time that it has reported: reports are
-# some hundred ms old, and the end of a connection may arrive late.
-MAX_LEAVE_EARLY_S = 0.5
-MAX_LEAVE_LATE_S = 1.0
+MAX_LEAVE_LATE_S = 1.0  # until the end of a leaving worker's connection arrives
 
 
 class Owner(Protocol):
@@ -208,7 +206,7 @@
         if leaves_at is None or ended_at is None or not self.is_stream:
             return False
         late_s = ended_at - leaves_at
-        return -MAX_LEAVE_EARLY_S <= late_s <= MAX_LEAVE_LATE_S
+        return -reclaims.MAX_REPORT_AGE_S <= late_s <= MAX_LEAVE_LATE_S
 
     def release_worker(self) -> None:
         """Count the attempt no longer among those that its worker runs."""
--- a/citronjunction/gateway/relocation.py
+++ b/citronjunction/gateway/relocation.py
@@ -254,11 +254,18 @@
 
     def _has_streams(self, worker: fleet.Worker) -> bool:
         return any(
-            flow.attempt is not None and flow.attempt.worker is worker
-            for flow in self.services.flows
-            if flow.route.kind is models.RouteKind.stream
+            flow.route.kind is models.RouteKind.stream
+            for flow in self._select_flows(worker)
         )
 
+    def _select_flows(self, worker: fleet.Worker) -> list['flow.Flow']:
+        """Return the requests that run at a worker."""
+        return [
+            flow
+            for flow in self.services.flows
+            if flow.attempt is not None and flow.attempt.worker is worker
+        ]
+
     def _schedule_stops(
         self, worker: fleet.Worker, time_left: reclaims.TimeLeft
     ) -> None:
@@ -302,9 +309,8 @@
             time_left,
             token_copy_s,
             {
-                flow.request.name: _is_movable(flow, worker)
-                for flow in self.services.flows
-                if flow.attempt is not None and flow.attempt.worker is worker
+                flow.request.name: _is_movable(flow)
+                for flow in self._select_flows(worker)
             },
         )
 
@@ -313,8 +319,10 @@
         policy = configuration and configuration.upstreams.get(upstream)
         return policy.engine if policy else None
 
-    def _stop_streams(self, worker: fleet.Worker, request: str = '') -> None:
-        """Stop the streams of a worker, or one of them."""
+    def _stop_streams(
+        self, worker: fleet.Worker, request: str | None = None
+    ) -> None:
+        """Stop the streams of a worker, or only that of one request."""
         if worker.is_paused(self.services.timers.now()):
             self.services.log.write(
                 'streams not moved',
@@ -322,15 +330,11 @@
                 reason='the worker asked for a pause',
             )
             return
-        for stream in self._select_streams(worker):
-            if request in {'', stream.request.name}:
+        for stream in self._select_flows(worker):
+            is_selected = request is None or stream.request.name == request
+            if is_selected and _is_movable(stream):
                 self._relocate(stream, worker)
 
-    def _select_streams(self, worker: fleet.Worker) -> list['flow.Flow']:
-        return [
-            flow for flow in self.services.flows if _is_movable(flow, worker)
-        ]
-
     def _relocate(self, flow: 'flow.Flow', worker: fleet.Worker) -> None:
         now = self.services.timers.now()
         candidate = self.services.chooser.choose(
@@ -359,14 +363,12 @@
         return self.services.fleet.limits.is_limited(start_key)
 
 
-def _is_movable(flow: 'flow.Flow', worker: fleet.Worker) -> bool:
-    """Return whether a move would stop a stream that runs at a worker.
+def _is_movable(flow: 'flow.Flow') -> bool:
+    """Return whether a running request is a stream that a move would stop.
 
     The result of a second call would not tell what the first one did.
     """
     running = flow.attempt
-    if running is None or running.worker is not worker:
-        return False
     if flow.relocation is not None and flow.relocation.stopped is running:
         return False
     is_stream = flow.route.kind is models.RouteKind.stream
--- a/citronjunction/reclaims/models.py
+++ b/citronjunction/reclaims/models.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# A worker may end that much earlier than its report says.
+MAX_REPORT_AGE_S = 0.5
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Run:
--- a/citronjunction/reclaims/schedule.py
+++ b/citronjunction/reclaims/schedule.py
@@ -8,10 +8,6 @@
 
 from citronjunction.reclaims import models
 
-# Between the end of the last copy and that of the worker, as reports of its
-# time left are some hundred ms old.
-MARGIN_S = 0.5
-
 
 def compute_starts(
     time_left: models.TimeLeft,
@@ -31,7 +27,7 @@
         for run in runs
     ]
     starts: dict[str, float] = {}
-    start_s = max(0, time_left.left_s - MARGIN_S - sum(copies_s))
+    start_s = max(0, time_left.left_s - models.MAX_REPORT_AGE_S - sum(copies_s))
     for run, copy_s in zip(runs, copies_s):
         if movable.get(run.request):
             starts[run.request] = start_s
--- a/tests/reclaims/test_schedule.py
+++ b/tests/reclaims/test_schedule.py
@@ -9,7 +9,9 @@
 
 
 LEFT_S = 3.0
-FIRST_S = LEFT_S - schedule.MARGIN_S - 10 * COPY_S  # the start of ten copies
+FIRST_S = (
+    LEFT_S - models.MAX_REPORT_AGE_S - 10 * COPY_S
+)  # the start of ten copies
 
 
 def compute(movable, left_s=LEFT_S, copy_s=COPY_S):
@@ -69,4 +71,4 @@
 def test_copies_of_unknown_length_take_no_time():
     starts = compute({'r0': True}, copy_s=0)
 
-    assert starts == {'r0': LEFT_S - schedule.MARGIN_S}
+    assert starts == {'r0': LEFT_S - models.MAX_REPORT_AGE_S}
