Tests: stand-ins of moved streams are written once

Assertions, cases and bounds are as before. The reclaim of a worker, the response with a length and the gateway that forwards for want of workers stood in two or three files; they are in tests/support.

--- a/tests/gateway/test_moves_in_turn.py
+++ b/tests/gateway/test_moves_in_turn.py
@@ -36,19 +36,12 @@
     return answers
 
 
-def reclaim(deployed, name):
-    deployed.workers[name].leaves_at = deployed.world.now + NOTICE_S
-    deployed.set_state(name, 'draining')
-    deployed.world.run(NOTICE_S)
-    deployed.worker_hosts[name].kill()
-
-
 # Guards against copies that are still in the queue as their worker leaves.
 def test_all_streams_of_a_reclaimed_worker_are_moved(deployed):
     answers = start_streams(deployed)
     deployed.world.run(1)
     served = [answer for answer in answers if answer.status == 200]
-    reclaim(deployed, 'llm-0')
+    moving.reclaim(deployed, 'llm-0', NOTICE_S)
     deployed.world.run(12)
 
     moves = deployed.workers['llm-0'].moves
@@ -63,7 +56,7 @@
 def test_a_stream_is_stopped_when_its_copy_is_due(deployed):
     start_streams(deployed)
     deployed.world.run(1)
-    reclaim(deployed, 'llm-0')
+    moving.reclaim(deployed, 'llm-0', NOTICE_S)
 
     worker = deployed.workers['llm-0']
     stopped_at = sorted(worker.moved_at)
@@ -79,7 +72,7 @@
     answer = deployed.send('/stream/x', method='POST', deadline_ms=15000)
     deployed.world.run(1)
     name = answer.headers['signature'].removeprefix('sig.')
-    reclaim(deployed, name)
+    moving.reclaim(deployed, name, NOTICE_S)
 
     worker = deployed.workers[name]
     (stopped_at,) = worker.moved_at
--- a/tests/gateway/test_relocation.py
+++ b/tests/gateway/test_relocation.py
@@ -2,10 +2,12 @@
 
 import pytest
 
-from tests.support import moving
+from tests.support import moving, platform_system, scripted
 
 EVENTS = moving.EVENTS
 numbers = moving.read_numbers
+drain = moving.drain
+reclaim = moving.reclaim
 
 
 @pytest.fixture
@@ -21,17 +23,6 @@
     return answer, signer, other
 
 
-def drain(deployed, name, left_s):
-    deployed.workers[name].leaves_at = deployed.world.now + left_s
-    deployed.set_state(name, 'draining')
-
-
-def reclaim(deployed, name, left_s):
-    drain(deployed, name, left_s)
-    deployed.world.run(left_s)
-    deployed.worker_hosts[name].kill()
-
-
 def test_a_stream_resumes_from_its_kv_cache_at_another_worker(deployed):
     answer, source, target = start_stream(deployed)
     reclaim(deployed, source, 2.4)
@@ -111,7 +102,7 @@
 
     def answer_move(source, connection):
         source.stream.close_later(0)
-        connection.send_later(0.05, moving.respond(status, body))
+        connection.send_later(0.05, scripted.respond(status, body))
 
     return moving.move(deployed, answer_move)
 
@@ -182,14 +173,10 @@
 
     def answer_move(source, connection):
         source.end()
-        connection.send_later(0.05, moving.respond(status, body))
+        connection.send_later(0.05, scripted.respond(status, body))
 
     deployed = moving.build(gateways=2)
-    deployed.world.refuse(['gateway-0'], deployed.workers)
-    deployed.press(['gateway-0'], 3, 20)
-    for node in deployed.gateways.values():
-        for address, _ in tuple(node.services.client.pool.idle):
-            node.services.client.pool.drop(address)
+    platform_system.forward_from_first(deployed)
     answer, source = moving.move(deployed, answer_move)
 
     assert len(source.moves) == 1
--- a/tests/gateway/test_stopped_streams.py
+++ b/tests/gateway/test_stopped_streams.py
@@ -2,25 +2,23 @@
 
 import pytest
 
-from citronjunction.gateway import fleet
-from tests.support import moving, platform_system
+from tests.support import moving, platform_system, scripted
 
-UPLOAD = bytes(8000)
 # Results that don't tell whether the run was stopped.
 UNCLEAR = {
-    'conflict': moving.respond(409),
-    'error': moving.respond(500),
-    'no handle': moving.respond(503),
-    'not executed': moving.respond(429),
-    'malformed': moving.respond(200, b'{"handle": '),
-    'empty': moving.respond(200),
+    'conflict': scripted.respond(409),
+    'error': scripted.respond(500),
+    'no handle': scripted.respond(503),
+    'not executed': scripted.respond(429),
+    'malformed': scripted.respond(200, b'{"handle": '),
+    'empty': scripted.respond(200),
     'not HTTP': b'handle\r\n\r\n',
     'closed': None,
     'reset': None,
 }
 NO_SUCH_RUN = [
-    moving.respond(404),
-    moving.respond(404, b'<html>no such run</html>'),
+    scripted.respond(404),
+    scripted.respond(404, b'<html>no such run</html>'),
 ]
 
 
@@ -65,7 +63,7 @@
     return request.param
 
 
-@pytest.fixture(params=[b'', UPLOAD], ids=['no upload', 'upload'])
+@pytest.fixture(params=[b'', moving.UPLOAD], ids=['no upload', 'upload'])
 def body(request):
     return request.param
 
@@ -143,8 +141,7 @@
     source.drain(2.0)
     deployed.world.run(0.6)
     node = deployed.gateways['gateway-0']
-    for address, _ in tuple(node.services.client.pool.idle):
-        node.services.client.pool.drop(address)
+    platform_system.drop_idle(node)
     deployed.world.refuse(['gateway-0'], ['llm-0'])
     deployed.world.run(4)
 
@@ -157,7 +154,7 @@
 # awaited.
 def test_a_stream_that_has_ended_is_not_moved(deployed):
     answer, source = moving.move(
-        deployed, Result('error'), event_count=4, body=UPLOAD
+        deployed, Result('error'), event_count=4, body=moving.UPLOAD
     )
 
     assert not source.moves
@@ -166,7 +163,7 @@
 
 # Guards against a second call, whose result would hide that of the first.
 @pytest.mark.parametrize('is_stopped', [True, False])
-def test_a_stream_is_told_to_stop_once(deployed, is_stopped, body):
+def test_a_stream_is_stopped_once(deployed, is_stopped, body):
     result = Result('unanswered', is_stopped=is_stopped)
     answer, source = moving.start(
         deployed, result, event_count=moving.EVENTS, body=body
@@ -240,7 +237,7 @@
     [b'h\\r\\nTenant: other', b'a handle', b'\\u20ac', b'h' * 10000],
 )
 def test_a_handle_that_is_no_word_is_malformed(deployed, handle, is_before):
-    wire = moving.respond(200, b'{"handle": "%b"}' % handle)
+    wire = scripted.respond(200, b'{"handle": "%b"}' % handle)
     result = Result('', is_before=is_before, wire=wire)
     answer, source = moving.move(deployed, result)
 
@@ -249,93 +246,6 @@
     assert deployed.ask('/safe/x').status == 200
 
 
-COPIED = {
-    'moved': moving.respond(200, b'{"handle": "h/1"}'),
-    'kept': moving.respond(503, b'{"handle": "h/1"}'),
-}
-# Time from the call until its result.
-COPY_S = 0.3
-
-
-class Copied:
-    """Stop the run, unless told otherwise, and copy it for a while."""
-
-    def __init__(self, kind, *, is_stopped=True):
-        self.wire = COPIED[kind]
-        self.is_stopped = is_stopped
-
-    def __call__(self, source, connection):
-        if self.is_stopped:
-            source.end()
-        connection.send_later(COPY_S, self.wire)
-
-
-@pytest.fixture(params=COPIED)
-def copied(request):
-    return Copied(request.param)
-
-
-# Guards against copies that hold memory though no stream needs them.
-@pytest.mark.parametrize('wait_s', [0.4, 0.7])
-def test_the_copy_of_a_caller_that_left_is_released(
-    deployed, copied, wait_s, body
-):
-    # The bytes of an upload's stream end 1.5 s before its end counts.
-    is_waiting = wait_s < 0.3 + COPY_S or body
-    answer, source = moving.start(deployed, copied, body=body)
-    source.drain(1.2)
-    deployed.world.run(wait_s)
-    answer.call.cancel()
-    deployed.world.run(4)
-
-    assert source.moves
-    assert source.deleted == (['h%2F1'] if is_waiting else [])
-
-
-def test_the_copy_of_a_stream_that_was_not_stopped_is_released(deployed):
-    answer, source = moving.start(
-        deployed, Copied('moved', is_stopped=False), event_count=9
-    )
-    source.drain(1.2)
-    deployed.world.run(0.4)
-    answer.call.cancel()
-    deployed.world.run(4)
-
-    assert source.deleted == ['h%2F1']
-
-
-def test_the_copy_at_a_data_centre_that_is_evacuated_is_released(
-    deployed, monkeypatch
-):
-    answer, source = moving.start(deployed, Copied('moved'))
-    source.drain(1.2)
-    deployed.world.run(0.5)
-    monkeypatch.setattr(fleet.Fleet, 'is_closed', lambda *_: True)
-    deployed.world.run(4)
-
-    assert answer.ended_at is not None
-    assert source.deleted == ['h%2F1']
-
-
-# Guards against a copy that no attempt reaches, as its target is gone.
-def test_the_copy_at_a_target_that_is_gone_is_released(deployed):
-    answer, source = moving.start(deployed, Copied('moved'))
-    source.drain(1.2)
-    deployed.world.run(0.5)
-    deployed.worker_hosts['llm-1'].kill()
-    deployed.world.run(4)
-
-    assert answer.ended_at is not None
-    assert source.deleted == ['h%2F1']
-
-
-def test_a_copy_that_a_stream_resumes_from_is_not_released(deployed, body):
-    answer, source = moving.move(deployed, Copied('moved'), body=body)
-
-    assert answer.is_complete
-    assert not source.deleted
-
-
 # Guards against a refund for a stream that has run, while it is moved.
 def test_a_stream_that_expires_in_a_move_is_charged(deployed):
     organisation = platform_system.make_tenant('org', 1000, 1000, 5)
@@ -399,8 +309,7 @@
     worker.behaviour.event_count = 15
     answer = deployed.send('/stream/x', method='POST', deadline_ms=15000)
     deployed.world.run(0.3)
-    worker.leaves_at = deployed.world.now + 1.2
-    deployed.set_state('llm-0', 'draining')
+    moving.drain(deployed, 'llm-0', 1.2)
     deployed.world.run(4)
 
     assert answer.is_complete
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -39,8 +39,7 @@
 
 def read_report(document):
     world = virtual.World()
-    body = json.dumps(document).encode()
-    wire = b'HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%b' % (len(body), body)
+    wire = scripted.respond(200, json.dumps(document).encode())
     scripted.ScriptedServer(
         world.add_host('server'),
         ADDRESS,
--- a/tests/support/moving.py
+++ b/tests/support/moving.py
@@ -16,6 +16,7 @@
 }
 EVENTS = 50
 INTERVAL_S = 0.1  # between events
+UPLOAD = bytes(8000)  # the end of an unframed answer to it counts late
 HEAD = (
     b'HTTP/1.1 200 OK\r\nSignature: s\r\nAttempt-Id: %b\r\n'
     b'Content-Type: text/event-stream\r\n\r\n'
@@ -49,12 +50,17 @@
     return [int(line[4:]) for line in lines if line.startswith('id: ')]
 
 
-def respond(status, body=b'{}'):
-    return b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b' % (
-        status,
-        len(body),
-        body,
-    )
+def drain(deployed, name, left_s):
+    """Announce that a worker ends in a time."""
+    deployed.workers[name].leaves_at = deployed.world.now + left_s
+    deployed.set_state(name, 'draining')
+
+
+def reclaim(deployed, name, left_s):
+    """Announce that a worker ends, and end it."""
+    drain(deployed, name, left_s)
+    deployed.world.run(left_s)
+    deployed.worker_hosts[name].kill()
 
 
 class UnframedSource:
@@ -81,13 +87,15 @@
     def answer(self, connection, request):
         if b'/api/report' in request:
             left_ms = (self.leaves_at - self.deployed.world.now) * 1000
-            connection.send(respond(200, b'{"leaves_ms": %d}' % left_ms))
+            connection.send(
+                scripted.respond(200, b'{"leaves_ms": %d}' % left_ms)
+            )
         elif b'/api/kv-move' in request:
             self.moves.append(request)
             self.answer_move(self, connection)
         elif request.startswith(b'DELETE /api/kv-handle/'):
             self.deleted.append(request.split()[1].rpartition(b'/')[2].decode())
-            connection.send(respond(200))
+            connection.send(scripted.respond(200))
         elif self.stream is None:
             self.stream = connection
             connection.send(HEAD % scripted.get_header(request, 'Attempt-Id'))
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -355,13 +355,24 @@
 def build_forwarding():
     """Return two gateways, of which the first reaches no worker."""
     deployed = PlatformSystem().build(workers=1, gateways=2)
+    forward_from_first(deployed)
+    return deployed
+
+
+def forward_from_first(deployed):
+    """Cut the first gateway off from the workers, so that it forwards."""
     deployed.world.refuse(['gateway-0'], deployed.workers)
     deployed.press(['gateway-0'], 3, 20)
     # Connections to the stand-ins that the tests replace.
     for gateway in deployed.gateways.values():
-        for address, _ in tuple(gateway.services.client.pool.idle):
-            gateway.services.client.pool.drop(address)
-    return deployed
+        drop_idle(gateway)
+
+
+def drop_idle(gateway):
+    """Close the idle connections of a gateway."""
+    pool = gateway.services.client.pool
+    for address, _ in tuple(pool.idle):
+        pool.drop(address)
 
 
 class LinkedSystem(PlatformSystem):
--- a/tests/support/scripted.py
+++ b/tests/support/scripted.py
@@ -75,6 +75,15 @@
     return send
 
 
+def respond(status, body=b'{}'):
+    """Return the bytes of a response with a length."""
+    return b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b' % (
+        status,
+        len(body),
+        body,
+    )
+
+
 def encode_chunk(data):
     """Encode a part of a body as a chunk."""
     return b'%x\r\n%b\r\n' % (len(data), data)
